--- /dev/null
+++ b/crates/admin/src/client.rs
@@ -0,0 +1,192 @@
+//! The client that the command line uses.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use model::{AcceptId, Secret, Version, VmId};
+use serde::de::DeserializeOwned;
+
+use crate::{Accepted, DiffReply, ErrorPage, LogEntry, Shown, Status};
+
+/// A failed call of the API.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// The daemon cannot be reached.
+    #[error("the daemon at {0} cannot be reached ({1}); check the address and that it runs")]
+    Unreachable(SocketAddr, String),
+    /// The daemon refused the call.
+    #[error("{}; {}", .0.message, .0.remedy)]
+    Refused(Box<ErrorPage>),
+    /// The daemon's answer cannot be read.
+    #[error("the daemon's answer cannot be read ({0}); check that both run one release")]
+    Unreadable(String),
+}
+
+/// A client of the API of one daemon.
+#[derive(Debug, Clone)]
+pub struct Client {
+    address: SocketAddr,
+    token: Option<Secret>,
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Opens a client of the daemon at `address`, for the operator with `token`.
+    pub fn open(address: SocketAddr, token: Option<Secret>) -> Self {
+        Self {
+            address,
+            token,
+            http: HttpClient::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Accepts a printed configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon refuses it or cannot be reached.
+    pub async fn accept(
+        &self,
+        config: Vec<u8>,
+        accept_id: &AcceptId,
+        reason: &str,
+    ) -> Result<Accepted, ClientError> {
+        let path = format!("/v1/accept?accept_id={accept_id}&reason={}", encode(reason));
+        self.json(Method::POST, &path, config).await
+    }
+
+    /// Accepts the content of an old version as a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon refuses it or cannot be reached.
+    pub async fn rollback(
+        &self,
+        version: Version,
+        accept_id: &AcceptId,
+        reason: &str,
+    ) -> Result<Accepted, ClientError> {
+        let reason = encode(reason);
+        let path = format!("/v1/rollback/{version}?accept_id={accept_id}&reason={reason}");
+        self.json(Method::POST, &path, Vec::new()).await
+    }
+
+    /// Returns a version's configuration; the head's when none is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the version does not exist or the daemon cannot be reached.
+    pub async fn show(&self, version: Option<Version>) -> Result<Shown, ClientError> {
+        let version = version.map_or("head".into(), |version| version.to_string());
+        self.json(Method::GET, &format!("/v1/versions/{version}"), Vec::new())
+            .await
+    }
+
+    /// Returns what differs between two versions.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a version does not exist or the daemon cannot be reached.
+    pub async fn diff(&self, from: Version, to: Version) -> Result<DiffReply, ClientError> {
+        self.json(Method::GET, &format!("/v1/diff/{from}/{to}"), Vec::new())
+            .await
+    }
+
+    /// Returns up to `limit` entries of the audit trail, newest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon refuses or cannot be reached.
+    pub async fn log(&self, limit: usize) -> Result<Vec<LogEntry>, ClientError> {
+        self.json(Method::GET, &format!("/v1/log?limit={limit}"), Vec::new())
+            .await
+    }
+
+    /// Returns the state of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon cannot be reached.
+    pub async fn status(&self) -> Result<Status, ClientError> {
+        self.json(Method::GET, "/v1/status", Vec::new()).await
+    }
+
+    /// Drains the upstream on `vm`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon refuses or cannot be reached.
+    pub async fn drain(&self, vm: &VmId) -> Result<(), ClientError> {
+        let path = format!("/v1/upstreams/{vm}/drain");
+        self.call(Method::POST, &path, Vec::new()).await.map(drop)
+    }
+
+    async fn json<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<T, ClientError> {
+        let bytes = self.call(method, path, body).await?;
+        serde_json::from_slice(&bytes).map_err(|error| ClientError::Unreadable(error.to_string()))
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Bytes, ClientError> {
+        let unreadable = |error: String| ClientError::Unreadable(error);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        if let Some(token) = &self.token {
+            request = request.header(AUTHORIZATION, format!("Bearer {}", token.expose()));
+        }
+        let request = request
+            .body(Full::from(body))
+            .map_err(|error| unreadable(error.to_string()))?;
+        let response = self
+            .http
+            .request(request)
+            .await
+            .map_err(|error| ClientError::Unreachable(self.address, error.to_string()))?;
+        let status = response.status();
+        let bytes = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| unreadable(error.to_string()))?
+            .to_bytes();
+        if status.is_success() {
+            return Ok(bytes);
+        }
+        Err(refused(status, &bytes))
+    }
+}
+
+fn refused(status: StatusCode, bytes: &[u8]) -> ClientError {
+    match serde_json::from_slice(bytes) {
+        Ok(page) => ClientError::Refused(Box::new(page)),
+        Err(_) => ClientError::Unreadable(format!(
+            "status {status}: {}",
+            String::from_utf8_lossy(bytes)
+        )),
+    }
+}
+
+/// Percent-encodes a query value.
+fn encode(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,33 @@
+//! Benchmarks on real daemons: `cargo run --release -p bench -- NAME`.
+//!
+//! Build the programs first with `cargo build --release --workspace`. Each result is one line of
+//! JSON on standard output.
+
+mod call;
+mod report;
+mod spread;
+
+use clap::{Parser, Subcommand};
+
+/// Benchmarks on real daemons.
+#[derive(Debug, Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    #[command(flatten)]
+    Spread(spread::Command),
+    #[command(flatten)]
+    Call(call::Command),
+}
+
+#[tokio::main]
+async fn main() -> Result<(), harness::Error> {
+    match Cli::parse().command {
+        Command::Spread(command) => spread::run(command).await,
+        Command::Call(command) => call::run(command).await,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,43 @@
+//! Results, one line of JSON each.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Prints one result.
+pub(crate) fn print(result: &impl Serialize) {
+    match serde_json::to_string(result) {
+        Ok(json) => println!("{json}"),
+        Err(error) => eprintln!("a result cannot be printed: {error}"),
+    }
+}
+
+/// Spread of a quantity, in microseconds.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Micros {
+    pub(crate) count: u64,
+    pub(crate) p50: u64,
+    pub(crate) p99: u64,
+    pub(crate) p999: u64,
+    pub(crate) max: u64,
+}
+
+impl From<&Histogram<u64>> for Micros {
+    fn from(histogram: &Histogram<u64>) -> Self {
+        Self {
+            count: histogram.len(),
+            p50: histogram.value_at_quantile(0.5),
+            p99: histogram.value_at_quantile(0.99),
+            p999: histogram.value_at_quantile(0.999),
+            max: histogram.max(),
+        }
+    }
+}
+
+/// Returns an empty histogram of microseconds up to ten minutes.
+///
+/// # Panics
+///
+/// Never: the bounds are valid.
+pub(crate) fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are valid")
+}
--- /dev/null
+++ b/crates/call/src/metrics.rs
@@ -0,0 +1,63 @@
+//! Metrics of the call path.
+
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Buckets of the duration histogram, in seconds.
+const DURATION_BUCKETS: &[f64] = &[
+    0.000_25, 0.000_5, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1.0,
+    2.0, 4.0, 8.0,
+];
+
+/// Metrics of the call path.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Calls by status class, at the ingress.
+    pub(crate) calls: IntCounterVec,
+    /// Refusals by kind.
+    pub(crate) refusals: IntCounterVec,
+    /// Duration of calls until their answer's head, in seconds.
+    pub(crate) duration: HistogramVec,
+    /// Calls in flight at the gate.
+    pub(crate) in_flight: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `registry` has them already.
+    pub fn open(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let calls = Opts::new("sardinestall_calls_total", "Calls answered at the ingress.");
+        let refusals = Opts::new(
+            "sardinestall_refusals_total",
+            "Calls that the system itself answered.",
+        );
+        let duration = HistogramOpts::new(
+            "sardinestall_call_duration_seconds",
+            "Time from a call's arrival to the head of its answer.",
+        )
+        .buckets(DURATION_BUCKETS.to_vec());
+        let metrics = Self {
+            calls: IntCounterVec::new(calls, &["code"])?,
+            refusals: IntCounterVec::new(refusals, &["kind", "outcome"])?,
+            duration: HistogramVec::new(duration, &["side"])?,
+            in_flight: IntGauge::new(
+                "sardinestall_gate_calls_in_flight",
+                "Calls that the upstream beside this daemon runs.",
+            )?,
+        };
+        registry.register(Box::new(metrics.calls.clone()))?;
+        registry.register(Box::new(metrics.refusals.clone()))?;
+        registry.register(Box::new(metrics.duration.clone()))?;
+        registry.register(Box::new(metrics.in_flight.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts an answer of the system's own.
+    pub(crate) fn refused(&self, refusal: &crate::Refusal) {
+        let kind = format!("{:?}", refusal.kind);
+        let labels = [kind.as_str(), refusal.outcome.as_str()];
+        self.refusals.with_label_values(&labels).inc();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,281 @@
+//! The running daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use admin::{Api, HttpServer, Operator, Operators};
+use call::{Announcement, Backend, Gate, Ingress, Metrics, Readiness, Server};
+use ledger::Ledger;
+use member::{Members, Record, UpstreamState};
+use model::{Incarnation, UnixMillis};
+use prometheus::Registry;
+use slog::{Logger, info, o};
+use spread::{Local, Node};
+use store::{GrpcStore, Store};
+use table::Table;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::{Settings, SpawnError};
+
+/// Time between announcing the stop and refusing calls, so that others hear of it first.
+const LEAVE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Addresses of a running daemon.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// Calls of local callers.
+    pub caller: SocketAddr,
+    /// Calls from other daemons.
+    pub gate: SocketAddr,
+    /// Distribution between daemons.
+    pub fleet: SocketAddr,
+    /// Administration, health and metrics.
+    pub admin: SocketAddr,
+    /// Announcements of the upstream.
+    pub announce: SocketAddr,
+}
+
+/// How a planned stop went.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StopReport {
+    /// Connections that were cut because they did not end in time.
+    pub cut: usize,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    addresses: Addresses,
+    stop_limit: Duration,
+    table: Arc<Table>,
+    node: Arc<Node>,
+    ingress: Server,
+    gate: Server,
+    admin: HttpServer,
+    announce: HttpServer,
+    watcher: JoinHandle<()>,
+    log: Logger,
+}
+
+/// Listeners of a daemon, bound before anything else starts.
+struct Listeners {
+    caller: TcpListener,
+    gate: TcpListener,
+    fleet: TcpListener,
+    admin: TcpListener,
+    announce: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, SpawnError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            caller: bind("caller", listen.caller).await?,
+            gate: bind("gate", listen.gate).await?,
+            fleet: bind("fleet", listen.fleet).await?,
+            admin: bind("admin", listen.admin).await?,
+            announce: bind("announce", listen.announce).await?,
+        })
+    }
+
+    fn addresses(&self) -> Result<Addresses, SpawnError> {
+        Ok(Addresses {
+            caller: self.caller.local_addr()?,
+            gate: self.gate.local_addr()?,
+            fleet: self.fleet.local_addr()?,
+            admin: self.admin.local_addr()?,
+            announce: self.announce.local_addr()?,
+        })
+    }
+}
+
+async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, SpawnError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| SpawnError::Bind {
+            key,
+            address,
+            error,
+        })
+}
+
+/// What other daemons may ask of this one.
+#[derive(Debug)]
+struct LocalUpstream {
+    backend: Arc<Backend>,
+}
+
+impl Local for LocalUpstream {
+    fn drain(&self) -> bool {
+        self.backend.drain()
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon on the store that its settings name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is in use; the error names the key and the remedy.
+    pub async fn spawn(settings: Settings, log: Logger) -> Result<Self, SpawnError> {
+        let store = Arc::new(GrpcStore::open(settings.store.address));
+        Self::spawn_on(settings, store, log).await
+    }
+
+    /// Starts a daemon on `store`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is in use; the error names the key and the remedy.
+    pub async fn spawn_on(
+        settings: Settings,
+        store: Arc<dyn Store>,
+        log: Logger,
+    ) -> Result<Self, SpawnError> {
+        let log = log.new(o!("vm" => settings.vm.id.to_string()));
+        let listeners = Listeners::bind(&settings).await?;
+        let addresses = listeners.addresses()?;
+        let registry = Registry::new();
+        let metrics = Metrics::open(&registry)?;
+        let members = Arc::new(Members::open(own_record(&settings, &addresses)));
+        let table = Arc::new(Table::open(members));
+        let ledger = Arc::new(Ledger::open(Arc::clone(&store)));
+        let backend = Backend::open(settings.upstream.silence);
+        let node = Arc::new(Node::spawn(
+            spread_settings(&settings),
+            listeners.fleet,
+            Arc::clone(&table),
+            Arc::clone(&ledger),
+            store,
+            Arc::new(LocalUpstream {
+                backend: Arc::clone(&backend),
+            }),
+            log.clone(),
+        )?);
+        let key = settings.fleet.key.clone();
+        let gate = Gate::open(Arc::clone(&backend), key.clone(), metrics.clone());
+        let ingress = Ingress::open(
+            Arc::clone(&table),
+            settings.vm.failure_domain.clone(),
+            key,
+            metrics,
+            log.clone(),
+        );
+        let operators = settings.operators.iter().map(Operator::from).collect();
+        let api = Api {
+            ledger,
+            table: Arc::clone(&table),
+            node: Arc::clone(&node),
+            operators: Arc::new(Operators(operators)),
+            registry,
+            log: log.clone(),
+        };
+        let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
+        info!(log, "daemon started";
+            "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
+            "admin" => %addresses.admin, "announce" => %addresses.announce);
+        Ok(Self {
+            addresses,
+            stop_limit: settings.upstream.stop_limit.duration(),
+            ingress: ingress.spawn(listeners.caller)?,
+            gate: gate.spawn(listeners.gate, log.clone())?,
+            admin: api.spawn(listeners.admin)?,
+            announce: admin::spawn_announce(backend, listeners.announce)?,
+            table,
+            node,
+            watcher,
+            log,
+        })
+    }
+
+    /// Returns the daemon's addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns what the daemon serves.
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    /// Returns the daemon's distribution.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Stops as planned: announces it, finishes the calls in flight, hands back its duty.
+    pub async fn stop(self) -> StopReport {
+        info!(self.log, "daemon stops");
+        self.watcher.abort();
+        self.table
+            .announce(|record| record.state = UpstreamState::Left);
+        sleep(LEAVE_PAUSE).await;
+        self.announce.stop();
+        let mut cut = self.ingress.stop(self.stop_limit).await;
+        cut += self.gate.stop(self.stop_limit).await;
+        self.node.stop().await;
+        self.admin.stop();
+        info!(self.log, "daemon stopped"; "cut" => cut);
+        StopReport { cut }
+    }
+}
+
+/// Writes the upstream's state to the membership whenever it changes.
+async fn watch_backend(backend: Arc<Backend>, table: Arc<Table>) {
+    loop {
+        let announced = backend.current();
+        table.announce(|record| describe(record, announced.as_ref()));
+        backend.changed().await;
+    }
+}
+
+/// Describes the upstream in this daemon's record.
+fn describe(record: &mut Record, announced: Option<&Announcement>) {
+    let Some(announced) = announced else {
+        record.state = UpstreamState::Absent;
+        return;
+    };
+    record.service = Some(announced.service.clone());
+    record.slots = announced.slots;
+    record.state = match announced.state {
+        Readiness::Warming => UpstreamState::Warming,
+        Readiness::Ready => UpstreamState::Ready,
+        Readiness::Draining => UpstreamState::Draining,
+    };
+}
+
+fn own_record(settings: &Settings, addresses: &Addresses) -> Record {
+    Record {
+        vm: settings.vm.id.clone(),
+        incarnation: Incarnation::new(UnixMillis::now().get()),
+        counter: 0,
+        state: UpstreamState::Absent,
+        service: None,
+        gate: addresses.gate,
+        fleet: addresses.fleet,
+        domain: settings.vm.failure_domain.clone(),
+        region: settings.vm.region.clone(),
+        slots: 0,
+        expired: false,
+    }
+}
+
+fn spread_settings(settings: &Settings) -> spread::Settings {
+    let fleet = &settings.fleet;
+    spread::Settings {
+        vm: settings.vm.id.clone(),
+        domain: settings.vm.failure_domain.clone(),
+        seeds: fleet.seeds.clone(),
+        key: fleet.key.clone(),
+        fanout: fleet.fanout,
+        relays: fleet.relays,
+        lease: fleet.lease,
+        beacon: fleet.beacon,
+        silence: fleet.silence,
+        grace: fleet.grace,
+        compare: fleet.compare,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,12 @@
+//! One daemon: its settings, and the wiring of its parts.
+
+mod daemon;
+mod error;
+mod settings;
+
+pub use daemon::{Addresses, Daemon, StopReport};
+pub use error::{SettingsError, SpawnError};
+pub use settings::{
+    FleetSettings, ListenSettings, LogFormat, LogLevel, LogSettings, OperatorSettings, Settings,
+    StoreSettings, UpstreamSettings, VmSettings,
+};
--- /dev/null
+++ b/crates/daemon/src/settings/fleet.rs
@@ -0,0 +1,83 @@
+//! Section `fleet`.
+
+use std::net::SocketAddr;
+
+use model::{Millis, Secret};
+use serde::Deserialize;
+
+/// The other daemons.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Key that every daemon of the fleet shares.
+    pub key: Secret,
+    /// Fleet addresses of other daemons, tried when the store is out.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Daemons that may follow this one directly.
+    #[serde(default = "FleetSettings::default_fanout")]
+    pub fanout: usize,
+    /// Relays in each failure domain.
+    #[serde(default = "FleetSettings::default_relays")]
+    pub relays: u32,
+    /// Time that a relay's lease lives without renewal.
+    #[serde(default = "FleetSettings::default_lease")]
+    pub lease: Millis,
+    /// Time between two beacons on a link.
+    #[serde(default = "FleetSettings::default_beacon")]
+    pub beacon: Millis,
+    /// Time without a beacon after which a link is given up.
+    #[serde(default = "FleetSettings::default_silence")]
+    pub silence: Millis,
+    /// Time after the loss of a link until the daemon behind it is expired.
+    #[serde(default = "FleetSettings::default_grace")]
+    pub grace: Millis,
+    /// Mean time between two comparisons with a random peer.
+    #[serde(default = "FleetSettings::default_compare")]
+    pub compare: Millis,
+}
+
+impl FleetSettings {
+    /// Returns the defaults for a fleet that shares `key`.
+    pub fn with_key(key: Secret) -> Self {
+        Self {
+            key,
+            seeds: Vec::new(),
+            fanout: Self::default_fanout(),
+            relays: Self::default_relays(),
+            lease: Self::default_lease(),
+            beacon: Self::default_beacon(),
+            silence: Self::default_silence(),
+            grace: Self::default_grace(),
+            compare: Self::default_compare(),
+        }
+    }
+
+    const fn default_fanout() -> usize {
+        8
+    }
+
+    const fn default_relays() -> u32 {
+        2
+    }
+
+    const fn default_lease() -> Millis {
+        Millis::new(6_000)
+    }
+
+    const fn default_beacon() -> Millis {
+        Millis::new(1_000)
+    }
+
+    const fn default_silence() -> Millis {
+        Millis::new(4_000)
+    }
+
+    const fn default_grace() -> Millis {
+        Millis::new(2_000)
+    }
+
+    const fn default_compare() -> Millis {
+        Millis::new(10_000)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/listen.rs
@@ -0,0 +1,37 @@
+//! Section `listen`.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use serde::Deserialize;
+
+/// Addresses to listen on; port 0 takes a free one.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ListenSettings {
+    /// Calls of local callers.
+    pub caller: SocketAddr,
+    /// Calls from other daemons to the upstream beside this one.
+    pub gate: SocketAddr,
+    /// Distribution between daemons.
+    pub fleet: SocketAddr,
+    /// Administration, health and metrics.
+    pub admin: SocketAddr,
+    /// Announcements of the upstream beside this daemon.
+    pub announce: SocketAddr,
+}
+
+const fn local(port: u16) -> SocketAddr {
+    SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))
+}
+
+impl Default for ListenSettings {
+    fn default() -> Self {
+        Self {
+            caller: local(7400),
+            gate: local(7401),
+            fleet: local(7402),
+            admin: local(7403),
+            announce: local(7404),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/upstream.rs
@@ -0,0 +1,23 @@
+//! Section `upstream`.
+
+use model::Millis;
+use serde::Deserialize;
+
+/// The upstream beside the daemon.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct UpstreamSettings {
+    /// Time without an announcement after which the upstream is taken for stopped.
+    pub silence: Millis,
+    /// Longest wait for calls in flight when the daemon stops.
+    pub stop_limit: Millis,
+}
+
+impl Default for UpstreamSettings {
+    fn default() -> Self {
+        Self {
+            silence: Millis::new(3_000),
+            stop_limit: Millis::new(30_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/vm.rs
@@ -0,0 +1,16 @@
+//! Section `vm`.
+
+use model::{DomainName, RegionName, VmId};
+use serde::Deserialize;
+
+/// The VM that the daemon runs on.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmSettings {
+    /// Id, unique in the fleet.
+    pub id: VmId,
+    /// Failure domain.
+    pub failure_domain: DomainName,
+    /// Region.
+    pub region: RegionName,
+}
--- /dev/null
+++ b/crates/harness/src/fleet.rs
@@ -0,0 +1,295 @@
+//! A fleet of separate processes.
+
+use std::fmt::Write;
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use admin::{Accepted, Client, TokenHash};
+use model::{AcceptId, Secret, Version};
+use serde::Deserialize;
+use standin::ControlClient;
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+use crate::{Error, Process};
+
+/// Token of the fleet's only operator.
+pub const TOKEN: &str = "harness-token";
+
+/// Time between two looks at a condition.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// A VM to start.
+#[derive(Debug, Clone)]
+pub struct VmSpec {
+    /// Id.
+    pub vm: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Region.
+    pub region: String,
+    /// Lines added to the daemon's settings, at their end.
+    pub settings: String,
+    /// Lines added to section `fleet` of the daemon's settings.
+    pub fleet: String,
+}
+
+impl VmSpec {
+    /// Describes a VM with default settings.
+    pub fn new(vm: &str, domain: &str, region: &str) -> Self {
+        Self {
+            vm: vm.into(),
+            domain: domain.into(),
+            region: region.into(),
+            settings: String::new(),
+            fleet: String::new(),
+        }
+    }
+}
+
+/// Addresses of a daemon, as its ready line says.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct DaemonReady {
+    caller: SocketAddr,
+    gate: SocketAddr,
+    fleet: SocketAddr,
+    admin: SocketAddr,
+    announce: SocketAddr,
+}
+
+/// Addresses of a stand-in, as its ready line says.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct StandinReady {
+    address: SocketAddr,
+    control: SocketAddr,
+}
+
+/// A running key-value service.
+#[derive(Debug)]
+pub struct KvProcess {
+    /// Process.
+    pub process: Process,
+    /// Address.
+    pub address: SocketAddr,
+    /// Control.
+    pub control: ControlClient,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// What was started.
+    pub spec: VmSpec,
+    /// Process.
+    pub process: Process,
+    /// Address of callers.
+    pub caller: SocketAddr,
+    /// Address of the gate.
+    pub gate: SocketAddr,
+    /// Address of the fleet port.
+    pub fleet: SocketAddr,
+    /// Address of the administration.
+    pub admin: SocketAddr,
+    /// Address of announcements.
+    pub announce: SocketAddr,
+}
+
+impl DaemonProcess {
+    /// Returns a client of the daemon's administration, with the fleet's token.
+    pub fn client(&self) -> Client {
+        Client::open(self.admin, Some(Secret::new(TOKEN)))
+    }
+}
+
+/// A running upstream.
+#[derive(Debug)]
+pub struct UpstreamProcess {
+    /// VM that it runs on.
+    pub vm: String,
+    /// Process.
+    pub process: Process,
+    /// Address.
+    pub address: SocketAddr,
+    /// Control.
+    pub control: ControlClient,
+}
+
+/// A fleet of separate processes, killed when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    dir: TempDir,
+    /// Teams that the fleet's operator may change.
+    teams: Vec<String>,
+    /// Key-value service.
+    pub kv: KvProcess,
+    /// Daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamProcess>,
+}
+
+impl Fleet {
+    /// Starts a key-value service; the operator may change the parts of `teams`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not become ready.
+    pub async fn open(teams: &[&str]) -> Result<Self, Error> {
+        let (process, ready) =
+            Process::spawn::<StandinReady>("standin", &["kv".into()], None).await?;
+        Ok(Self {
+            dir: TempDir::new()?,
+            teams: teams.iter().map(|team| (*team).into()).collect(),
+            kv: KvProcess {
+                process,
+                address: ready.address,
+                control: ControlClient::open(ready.control),
+            },
+            daemons: Vec::new(),
+            upstreams: Vec::new(),
+        })
+    }
+
+    /// Starts a daemon on a VM and adds it; returns its position.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not become ready.
+    pub async fn start_daemon(&mut self, spec: VmSpec) -> Result<usize, Error> {
+        let path = self.write_settings(&spec)?;
+        let log = File::create(self.dir.path().join(format!("{}.log", spec.vm)))?;
+        let args = [
+            "daemon".into(),
+            "--settings".into(),
+            path.display().to_string(),
+        ];
+        let (process, ready) =
+            Process::spawn::<DaemonReady>("sardinestall", &args, Some(log)).await?;
+        self.daemons.push(DaemonProcess {
+            spec,
+            process,
+            caller: ready.caller,
+            gate: ready.gate,
+            fleet: ready.fleet,
+            admin: ready.admin,
+            announce: ready.announce,
+        });
+        Ok(self.daemons.len() - 1)
+    }
+
+    /// Starts an upstream of `service` beside the daemon at `daemon`; returns its position.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream does not become ready.
+    pub async fn start_upstream(&mut self, daemon: usize, service: &str) -> Result<usize, Error> {
+        let vm = self.daemons[daemon].spec.vm.clone();
+        let mut args: Vec<String> = vec!["upstream".into()];
+        for (name, value) in [
+            ("--vm", vm.as_str()),
+            ("--service", service),
+            ("--daemon", &self.daemons[daemon].announce.to_string()),
+        ] {
+            args.push(name.into());
+            args.push(value.into());
+        }
+        let (process, ready) = Process::spawn::<StandinReady>("standin", &args, None).await?;
+        self.upstreams.push(UpstreamProcess {
+            vm,
+            process,
+            address: ready.address,
+            control: ControlClient::open(ready.control),
+        });
+        Ok(self.upstreams.len() - 1)
+    }
+
+    /// Accepts a printed configuration through the daemon at `daemon`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon refuses it.
+    pub async fn accept(
+        &self,
+        daemon: usize,
+        config: &str,
+        accept_id: &AcceptId,
+    ) -> Result<Accepted, Error> {
+        let client = self.daemons[daemon].client();
+        Ok(client.accept(config.into(), accept_id, "harness").await?)
+    }
+
+    /// Waits until every daemon itself serves `version` or a later one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that does not come about within `limit`.
+    pub async fn wait_serving(&self, version: Version, limit: Duration) -> Result<(), Error> {
+        for daemon in &self.daemons {
+            let client = daemon.client();
+            let what = format!("version {version} on {}", daemon.spec.vm);
+            wait_until(&what, limit, async || {
+                let status = client.status().await;
+                status.is_ok_and(|status| status.serving >= version)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the log of the daemon on `vm`.
+    pub fn log(&self, vm: &str) -> String {
+        let path = self.dir.path().join(format!("{vm}.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
+    fn write_settings(&self, spec: &VmSpec) -> Result<PathBuf, Error> {
+        let teams: Vec<String> = self
+            .teams
+            .iter()
+            .map(|team| format!("\"{team}\""))
+            .collect();
+        let mut toml = String::new();
+        // Writing to a string cannot fail.
+        let _ = write!(
+            toml,
+            "[vm]\nid = \"{}\"\nfailure_domain = \"{}\"\nregion = \"{}\"\n\n\
+             [listen]\ncaller = \"127.0.0.1:0\"\ngate = \"127.0.0.1:0\"\n\
+             fleet = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nannounce = \"127.0.0.1:0\"\n\n\
+             [fleet]\nkey = \"harness-fleet\"\n{}\n\n[store]\naddress = \"{}\"\n\n\
+             [[operators]]\nname = \"harness\"\nteams = [{}]\ntoken_hash = \"{}\"\n{}\n",
+            spec.vm,
+            spec.domain,
+            spec.region,
+            spec.fleet,
+            self.kv.address,
+            teams.join(", "),
+            TokenHash::of(TOKEN),
+            spec.settings,
+        );
+        let path = self.dir.path().join(format!("{}.toml", spec.vm));
+        fs::write(&path, toml)?;
+        Ok(path)
+    }
+}
+
+/// Waits until `condition` holds.
+///
+/// # Errors
+///
+/// Fails if it does not within `limit`.
+pub async fn wait_until(
+    what: &str,
+    limit: Duration,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Result<(), Error> {
+    let deadline = Instant::now() + limit;
+    while !condition().await {
+        if Instant::now() >= deadline {
+            return Err(Error::Timeout(what.into()));
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ledger/src/checkpoint.rs
@@ -0,0 +1,75 @@
+//! Whole states, kept now and then so that a version can be loaded without its whole history.
+
+use model::{Base, Item, State};
+use store::{Expect, Store};
+
+use crate::Error;
+
+/// Largest part of a checkpoint, in bytes.
+const PART_BYTES: usize = 512 << 10;
+
+/// Writes `state` as the checkpoint of its version, and returns where it is.
+pub(crate) async fn write(
+    store: &dyn Store,
+    version: model::Version,
+    state: &State,
+) -> Result<Base, Error> {
+    let parts = split(state);
+    let base = Base {
+        version,
+        root: state.root(),
+        parts: parts.len() as u32,
+    };
+    for (i, part) in parts.into_iter().enumerate() {
+        store
+            .put(&part_key(&base, i as u32), part, Expect::Any, None)
+            .await?;
+    }
+    Ok(base)
+}
+
+/// Reads the checkpoint at `base`.
+pub(crate) async fn read(store: &dyn Store, base: Base) -> Result<State, Error> {
+    let mut state = Vec::new();
+    for i in 0..base.parts {
+        let key = part_key(&base, i);
+        let entry = store.get(&key).await?;
+        let damaged = || Error::Damaged(key.clone());
+        let entry = entry.ok_or_else(damaged)?;
+        let items: Vec<Item> = serde_json::from_slice(&entry.value).map_err(|_| damaged())?;
+        state.extend(items);
+    }
+    let state = State::from_items(state);
+    if state.root() != base.root {
+        return Err(Error::Damaged(part_key(&base, 0)));
+    }
+    Ok(state)
+}
+
+/// Splits a state into JSON arrays of bounded size.
+fn split(state: &State) -> Vec<Vec<u8>> {
+    let mut parts = Vec::new();
+    let mut part: Vec<u8> = Vec::new();
+    for (_, piece) in state.pieces() {
+        let json = piece.to_json();
+        if !part.is_empty() && part.len() + json.len() > PART_BYTES {
+            part.push(b']');
+            parts.push(std::mem::take(&mut part));
+        }
+        part.push(if part.is_empty() { b'[' } else { b',' });
+        part.extend_from_slice(&json);
+    }
+    if !part.is_empty() {
+        part.push(b']');
+        parts.push(part);
+    }
+    parts
+}
+
+fn part_key(base: &Base, part: u32) -> String {
+    format!(
+        "checkpoint/{:020}/{}/{part:04}",
+        base.version.get(),
+        base.root
+    )
+}
--- /dev/null
+++ b/crates/member/src/record.rs
@@ -0,0 +1,147 @@
+//! The record of one daemon and the upstream beside it.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+use model::{DomainName, Incarnation, RegionName, ServiceName, VmId};
+use wire::fleet;
+
+/// State of the upstream beside a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// No upstream has announced itself.
+    Absent,
+    /// Cold start: takes a growing share of the calls.
+    Warming,
+    /// Takes calls.
+    Ready,
+    /// Takes no new call; finishes those in flight.
+    Draining,
+    /// The daemon itself has stopped.
+    Left,
+}
+
+/// State of one daemon and its upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Record {
+    /// VM of the daemon.
+    pub vm: VmId,
+    /// Start of the daemon that wrote the record.
+    pub incarnation: Incarnation,
+    /// Number of the record within its incarnation.
+    pub counter: u64,
+    /// State of the upstream.
+    pub state: UpstreamState,
+    /// Service that the upstream belongs to.
+    pub service: Option<ServiceName>,
+    /// Address of the daemon's gate.
+    pub gate: SocketAddr,
+    /// Address of the daemon's fleet port.
+    pub fleet: SocketAddr,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Region of the VM.
+    pub region: RegionName,
+    /// Calls that the upstream runs at once.
+    pub slots: u32,
+    /// Whether others expired the record because its writer was not heard of.
+    pub expired: bool,
+}
+
+impl Record {
+    /// Orders two records of one VM: the later start, then the later write, then the expiry wins.
+    pub fn order(&self, other: &Self) -> Ordering {
+        let rank = |record: &Self| (record.incarnation, record.counter, record.expired);
+        rank(self).cmp(&rank(other))
+    }
+
+    /// Returns whether the daemon has neither left nor expired.
+    pub fn is_alive(&self) -> bool {
+        !self.expired && self.state != UpstreamState::Left
+    }
+
+    /// Returns whether new calls may go to the upstream.
+    pub fn takes_calls(&self) -> bool {
+        !self.expired && matches!(self.state, UpstreamState::Warming | UpstreamState::Ready)
+    }
+}
+
+/// A record on the wire that cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "the record of VM `{vm}` has an unreadable {field}; check that both daemons run one release"
+)]
+pub struct RecordError {
+    vm: String,
+    field: &'static str,
+}
+
+impl TryFrom<fleet::Record> for Record {
+    type Error = RecordError;
+
+    fn try_from(record: fleet::Record) -> Result<Self, RecordError> {
+        let fail = |field| RecordError {
+            vm: record.vm.clone(),
+            field,
+        };
+        let service = match record.service.as_str() {
+            "" => None,
+            name => Some(name.parse().map_err(|_| fail("service"))?),
+        };
+        Ok(Self {
+            vm: record.vm.parse().map_err(|_| fail("vm"))?,
+            incarnation: Incarnation::new(record.incarnation),
+            counter: record.counter,
+            state: state_from_wire(record.state()),
+            service,
+            gate: record.gate.parse().map_err(|_| fail("gate"))?,
+            fleet: record.fleet.parse().map_err(|_| fail("fleet"))?,
+            domain: record.domain.parse().map_err(|_| fail("domain"))?,
+            region: record.region.parse().map_err(|_| fail("region"))?,
+            slots: record.slots,
+            expired: record.expired,
+        })
+    }
+}
+
+impl From<&Record> for fleet::Record {
+    fn from(record: &Record) -> Self {
+        Self {
+            vm: record.vm.to_string(),
+            incarnation: record.incarnation.get(),
+            counter: record.counter,
+            state: state_to_wire(record.state).into(),
+            service: record
+                .service
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+            gate: record.gate.to_string(),
+            fleet: record.fleet.to_string(),
+            domain: record.domain.to_string(),
+            region: record.region.to_string(),
+            slots: record.slots,
+            expired: record.expired,
+        }
+    }
+}
+
+fn state_from_wire(state: fleet::UpstreamState) -> UpstreamState {
+    match state {
+        fleet::UpstreamState::Absent => UpstreamState::Absent,
+        fleet::UpstreamState::Warming => UpstreamState::Warming,
+        fleet::UpstreamState::Ready => UpstreamState::Ready,
+        fleet::UpstreamState::Draining => UpstreamState::Draining,
+        fleet::UpstreamState::Left => UpstreamState::Left,
+    }
+}
+
+fn state_to_wire(state: UpstreamState) -> fleet::UpstreamState {
+    match state {
+        UpstreamState::Absent => fleet::UpstreamState::Absent,
+        UpstreamState::Warming => fleet::UpstreamState::Warming,
+        UpstreamState::Ready => fleet::UpstreamState::Ready,
+        UpstreamState::Draining => fleet::UpstreamState::Draining,
+        UpstreamState::Left => fleet::UpstreamState::Left,
+    }
+}
--- /dev/null
+++ b/crates/model/src/config.rs
@@ -0,0 +1,314 @@
+//! The configuration format that operators print.
+
+use std::fmt;
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+use crate::{
+    DomainName, Millis, PoolName, RouteName, ServiceName, Size, TeamName, Version, Weight,
+};
+
+/// Format number that this release reads and writes.
+pub const FORMAT: u32 = 1;
+
+/// A configuration as an operator prints it: every part that the named teams own.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Format number, 1.
+    pub format: u32,
+    /// Version that the configuration was made against; the head when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<Version>,
+    /// Teams whose parts this configuration replaces; other teams' parts stay as they are.
+    pub teams: Vec<TeamName>,
+    /// Services of these teams.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Pools of these teams.
+    #[serde(default)]
+    pub pools: Vec<Pool>,
+    /// Routes of these teams.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+}
+
+impl Config {
+    /// Returns every item in the order of the file.
+    pub fn items(&self) -> impl Iterator<Item = Item> {
+        let services = self.services.iter().cloned().map(Item::Service);
+        let pools = self.pools.iter().cloned().map(Item::Pool);
+        let routes = self.routes.iter().cloned().map(Item::Route);
+        services.chain(pools).chain(routes)
+    }
+}
+
+/// A service: what upstreams announce themselves for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name, unique among services.
+    pub name: ServiceName,
+    /// Owning team.
+    pub team: TeamName,
+    /// Calls that one upstream runs at once.
+    #[serde(default = "Service::default_slots")]
+    pub slots: u32,
+    /// Connections that one upstream takes at most.
+    #[serde(default = "Service::default_connections")]
+    pub connections: u32,
+    /// Time over which a cold upstream's share grows to its full size.
+    #[serde(default = "Service::default_slow_start")]
+    pub slow_start: Millis,
+    /// Retries allowed for each hundred first tries.
+    #[serde(default = "Service::default_retry_percent")]
+    pub retry_percent: u32,
+}
+
+impl Service {
+    /// Returns a service with the default limits.
+    pub const fn new(name: ServiceName, team: TeamName) -> Self {
+        Self {
+            name,
+            team,
+            slots: Self::default_slots(),
+            connections: Self::default_connections(),
+            slow_start: Self::default_slow_start(),
+            retry_percent: Self::default_retry_percent(),
+        }
+    }
+
+    const fn default_slots() -> u32 {
+        12
+    }
+
+    const fn default_connections() -> u32 {
+        110
+    }
+
+    const fn default_slow_start() -> Millis {
+        Millis::new(5_000)
+    }
+
+    const fn default_retry_percent() -> u32 {
+        20
+    }
+}
+
+/// A pool: the upstreams of one service, or those in some failure domains.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Name, unique among pools.
+    pub name: PoolName,
+    /// Owning team.
+    pub team: TeamName,
+    /// Service whose upstreams are selected.
+    pub service: ServiceName,
+    /// Failure domains to select from; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub domains: Vec<DomainName>,
+}
+
+/// A route: which calls it takes, and where they go.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name, unique among routes.
+    pub name: RouteName,
+    /// Owning team.
+    pub team: TeamName,
+    /// Hosts, without port; `*` matches every host.
+    pub hosts: Vec<String>,
+    /// Path to match.
+    pub path: PathMatch,
+    /// Methods to match; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub methods: Vec<String>,
+    /// Headers that must all match.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub headers: Vec<HeaderMatch>,
+    /// Pools that share the calls by weight.
+    pub to: Vec<Target>,
+    /// Rules for the calls of this route.
+    #[serde(default)]
+    pub rules: Rules,
+}
+
+/// Path of a route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum PathMatch {
+    /// The path itself.
+    Exact(String),
+    /// The path itself and everything below it.
+    Prefix(String),
+}
+
+/// A header that a call must carry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct HeaderMatch {
+    /// Header name, in lower case.
+    pub name: String,
+    /// Exact value; any value when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+}
+
+/// A pool and its share of a route's calls.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Pool that takes the calls.
+    pub pool: PoolName,
+    /// Share relative to the route's other targets.
+    #[serde(default = "Target::default_weight")]
+    pub weight: Weight,
+}
+
+impl Target {
+    const fn default_weight() -> Weight {
+        Weight::new(1)
+    }
+}
+
+/// Traffic rules of a route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Time that a call may take, from its arrival to its whole answer.
+    pub timeout: Millis,
+    /// Tries after the first one.
+    pub retries: u32,
+    /// Whether a call may be run more than once; by its HTTP method when absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub idempotent: Option<bool>,
+    /// Which calls are shed first under overload.
+    pub priority: Priority,
+    /// Largest request body.
+    pub body_limit: Size,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            timeout: Millis::new(10_000),
+            retries: 2,
+            idempotent: None,
+            priority: Priority::Normal,
+            body_limit: Size::new(64 << 20),
+        }
+    }
+}
+
+/// Priority of a route's calls under overload.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Shed first.
+    Low,
+    /// Shed after the low ones.
+    Normal,
+    /// Shed last.
+    High,
+}
+
+/// Kind of an item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// A [`Service`].
+    Service,
+    /// A [`Pool`].
+    Pool,
+    /// A [`Route`].
+    Route,
+}
+
+impl Kind {
+    /// Returns the kind's name in keys.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Pool => "pool",
+            Self::Route => "route",
+        }
+    }
+}
+
+/// Key of an item, written as `route/proofs`.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct Key {
+    /// Kind of the item.
+    pub kind: Kind,
+    /// Name, unique within the kind.
+    pub name: String,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
+}
+
+impl FromStr for Key {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let unknown = || format!("`{text}` is not a key: write KIND/NAME, such as `route/proofs`");
+        let (kind, name) = text.split_once('/').ok_or_else(unknown)?;
+        let kind = match kind {
+            "service" => Kind::Service,
+            "pool" => Kind::Pool,
+            "route" => Kind::Route,
+            _ => return Err(unknown()),
+        };
+        Ok(Self {
+            kind,
+            name: name.into(),
+        })
+    }
+}
+
+/// One part of a configuration that changes as a whole.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// A service.
+    Service(Service),
+    /// A pool.
+    Pool(Pool),
+    /// A route.
+    Route(Route),
+}
+
+impl Item {
+    /// Returns the item's key.
+    pub fn key(&self) -> Key {
+        let (kind, name) = match self {
+            Self::Service(service) => (Kind::Service, service.name.as_str()),
+            Self::Pool(pool) => (Kind::Pool, pool.name.as_str()),
+            Self::Route(route) => (Kind::Route, route.name.as_str()),
+        };
+        Key {
+            kind,
+            name: name.into(),
+        }
+    }
+
+    /// Returns the team that owns the item.
+    pub fn team(&self) -> &TeamName {
+        match self {
+            Self::Service(service) => &service.team,
+            Self::Pool(pool) => &pool.team,
+            Self::Route(route) => &route.team,
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,29 @@
+//! Types shared by every crate: names, units, the configuration format and its versions.
+
+mod change;
+mod config;
+mod digest;
+mod name;
+mod parse;
+mod problem;
+mod secret;
+mod state;
+mod unit;
+mod validate;
+
+pub use change::{Base, Change, Entry, MAX_CHANGE_BYTES};
+pub use config::{
+    Config, FORMAT, HeaderMatch, Item, Key, Kind, PathMatch, Pool, Priority, Route, Rules, Service,
+    Target,
+};
+pub use digest::Digest;
+pub use name::{
+    AcceptId, DomainName, NameError, OperatorName, PoolName, RegionName, RouteName, ServiceName,
+    TeamName, VmId,
+};
+pub use parse::parse;
+pub use problem::{Problem, Problems};
+pub use secret::Secret;
+pub use state::{Piece, State, StateError};
+pub use unit::{Incarnation, Millis, Size, UnitError, UnixMillis, Version, Weight};
+pub use validate::validate;
--- /dev/null
+++ b/crates/model/src/name.rs
@@ -0,0 +1,106 @@
+//! Names of the things that a configuration and a fleet consist of.
+
+use std::fmt;
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// Longest accepted name, in bytes.
+const MAX_NAME_BYTES: usize = 63;
+
+/// A text that is not a valid name.
+#[derive(Debug, thiserror::Error, PartialEq)]
+#[error("`{text}` is not a valid {what}: use 1 to 63 of a-z, 0-9, `-`, `_` and `.`")]
+pub struct NameError {
+    text: String,
+    what: &'static str,
+}
+
+/// Returns whether `text` may serve as a name.
+fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.');
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, JsonSchema,
+            SerializeDisplay, DeserializeFromStr,
+        )]
+        #[schemars(transparent)]
+        pub struct $type(#[schemars(with = "String", regex(pattern = "^[a-z0-9._-]{1,63}$"))] String);
+
+        impl $type {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                if !is_name(text) {
+                    return Err(NameError { text: text.into(), what: $what });
+                }
+                Ok(Self(text.into()))
+            }
+        }
+    };
+}
+
+name!(
+    /// Name of a service, the unit that upstreams announce themselves for.
+    ServiceName,
+    "service name"
+);
+name!(
+    /// Name of a pool, a selection of the upstreams of one service.
+    PoolName,
+    "pool name"
+);
+name!(
+    /// Name of a route.
+    RouteName,
+    "route name"
+);
+name!(
+    /// Name of a team, the owner of parts of the configuration.
+    TeamName,
+    "team name"
+);
+name!(
+    /// Name of an operator.
+    OperatorName,
+    "operator name"
+);
+name!(
+    /// Name of a failure domain.
+    DomainName,
+    "failure domain"
+);
+name!(
+    /// Name of a region.
+    RegionName,
+    "region name"
+);
+name!(
+    /// Name of a VM; one daemon runs on each.
+    VmId,
+    "VM id"
+);
+name!(
+    /// Caller-chosen id of one accept, by which a lost answer is settled.
+    AcceptId,
+    "accept id"
+);
--- /dev/null
+++ b/crates/model/src/unit.rs
@@ -0,0 +1,219 @@
+//! Quantities with their units.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// A text that is not a valid quantity.
+#[derive(Debug, thiserror::Error, PartialEq)]
+#[error("`{text}` is not a valid {what}: write {remedy}")]
+pub struct UnitError {
+    text: String,
+    what: &'static str,
+    remedy: &'static str,
+}
+
+/// Parses digits followed by one of `units`, each with its factor.
+fn parse_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let end = text.find(|c: char| !c.is_ascii_digit())?;
+    let (digits, unit) = text.split_at(end);
+    let count: u64 = digits.parse().ok()?;
+    let (_, factor) = units.iter().find(|(name, _)| *name == unit)?;
+    count.checked_mul(*factor)
+}
+
+/// Writes `count` with the largest of `units` that divides it.
+fn write_unit(f: &mut fmt::Formatter<'_>, count: u64, units: &[(&str, u64)]) -> fmt::Result {
+    let largest = units
+        .iter()
+        .rev()
+        .find(|(_, factor)| count >= *factor && count.is_multiple_of(*factor));
+    let (name, factor) = largest.unwrap_or(&units[0]);
+    write!(f, "{}{name}", count / factor)
+}
+
+/// Time units and their lengths in milliseconds.
+const TIME_UNITS: &[(&str, u64)] = &[("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+
+/// Size units and their lengths in bytes.
+const SIZE_UNITS: &[(&str, u64)] = &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)];
+
+/// An amount of time given by an operator, in milliseconds, written as `250ms`, `2s`, `5m` or `1h`.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    SerializeDisplay,
+    DeserializeFromStr,
+    JsonSchema,
+)]
+#[schemars(transparent)]
+pub struct Millis(#[schemars(with = "String", regex(pattern = "^[0-9]+(ms|s|m|h)$"))] u64);
+
+impl Millis {
+    /// Returns the amount of `millis` milliseconds.
+    pub const fn new(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the amount in milliseconds.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the amount as a [`Duration`], for the calls of libraries.
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_unit(f, self.0, TIME_UNITS)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        parse_unit(text, TIME_UNITS)
+            .map(Self)
+            .ok_or_else(|| UnitError {
+                text: text.into(),
+                what: "time",
+                remedy: "a whole number with a unit, such as `250ms`, `2s`, `5m` or `1h`",
+            })
+    }
+}
+
+/// A size in bytes, written as `512B`, `64KiB` or `1MiB`.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    SerializeDisplay,
+    DeserializeFromStr,
+    JsonSchema,
+)]
+#[schemars(transparent)]
+pub struct Size(#[schemars(with = "String", regex(pattern = "^[0-9]+(B|KiB|MiB)$"))] u64);
+
+impl Size {
+    /// Returns the size of `bytes` bytes.
+    pub const fn new(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the size in bytes.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_unit(f, self.0, SIZE_UNITS)
+    }
+}
+
+impl FromStr for Size {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        parse_unit(text, SIZE_UNITS)
+            .map(Self)
+            .ok_or_else(|| UnitError {
+                text: text.into(),
+                what: "size",
+                remedy: "a whole number with a unit, such as `512B`, `64KiB` or `1MiB`",
+            })
+    }
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $type:ident, $repr:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default,
+            Serialize, Deserialize, JsonSchema,
+        )]
+        #[serde(transparent)]
+        pub struct $type($repr);
+
+        impl $type {
+            /// Wraps a plain number.
+            pub const fn new(number: $repr) -> Self {
+                Self(number)
+            }
+
+            /// Returns the plain number.
+            pub const fn get(self) -> $repr {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIntError> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+number!(
+    /// Number of a configuration version. Zero stands for "none accepted yet".
+    Version,
+    u64
+);
+number!(
+    /// Number of a daemon's start, in milliseconds since the Unix epoch; a later start is higher.
+    Incarnation,
+    u64
+);
+number!(
+    /// A wall-clock instant, in milliseconds since the Unix epoch.
+    UnixMillis,
+    u64
+);
+number!(
+    /// Relative share of a route's calls that goes to one target.
+    Weight,
+    u32
+);
+
+impl Version {
+    /// Returns the version that follows this one.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl UnixMillis {
+    /// Returns the present instant of the system clock.
+    pub fn now() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self(since.map_or(0, |elapsed| elapsed.as_millis() as u64))
+    }
+}
--- /dev/null
+++ b/crates/plan/examples/tesfaye.rs
@@ -0,0 +1,6 @@
+//! Prints the configuration of `plan::tesfaye`.
+
+fn main() -> Result<(), plan::PlanError> {
+    println!("{}", plan::tesfaye()?.to_json()?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/plan/src/brno.rs
@@ -0,0 +1,52 @@
+//! The configuration of Městská redakční služba Brno.
+
+use model::{PathMatch, Priority};
+
+use crate::{Plan, PlanError};
+
+/// Host that editors and authors call.
+const HOST: &str = "redakce.brno.example";
+
+/// Connections that one upstream takes.
+const CONNECTIONS: u32 = 130;
+
+/// Largest figure bundle, in bytes.
+const FIGURE_BYTES: u64 = 64 << 20;
+
+/// Returns the plan: proofs and galleys are read, acceptance notices are sent at most once.
+///
+/// # Errors
+///
+/// Never: every name in it is valid.
+pub fn brno() -> Result<Plan, PlanError> {
+    let mut plan = Plan::new("redakce")?;
+    let proofdesk = plan.service("proofdesk")?.connections(CONNECTIONS).add();
+    let decisions = plan.service("decisions")?.connections(CONNECTIONS).add();
+    let galleys = plan.service("galleys")?.connections(CONNECTIONS).add();
+    let proofs = plan.pool("proofs", &proofdesk)?;
+    let notices = plan.pool("notices", &decisions)?;
+    let status = plan.pool("galley-status", &galleys)?;
+    plan.route("proofs", HOST, PathMatch::Prefix("/proofs".into()))?
+        .to(&proofs, 1)
+        .timeout_ms(5_000)
+        .priority(Priority::High)
+        .add();
+    plan.route("figures", HOST, PathMatch::Prefix("/figures".into()))?
+        .method("PUT")
+        .to(&proofs, 1)
+        .timeout_ms(60_000)
+        .idempotent(true)
+        .body_limit(FIGURE_BYTES)
+        .add();
+    plan.route("notices", HOST, PathMatch::Prefix("/notices".into()))?
+        .to(&notices, 1)
+        .timeout_ms(10_000)
+        .idempotent(false)
+        .priority(Priority::High)
+        .add();
+    plan.route("galleys", HOST, PathMatch::Prefix("/galleys".into()))?
+        .to(&status, 1)
+        .timeout_ms(3_000)
+        .add();
+    Ok(plan)
+}
--- /dev/null
+++ b/crates/plan/src/tesfaye.rs
@@ -0,0 +1,54 @@
+//! The configuration of Tesfaye Lantern Tickets PLC.
+
+use model::{PathMatch, Priority};
+
+use crate::{Plan, PlanError};
+
+/// Host that pilgrims, stewards and families call.
+const HOST: &str = "tickets.tesfaye.example";
+
+/// Connections that one upstream takes.
+const CONNECTIONS: u32 = 110;
+
+/// Largest banner artwork, in bytes.
+const BANNER_BYTES: u64 = 32 << 20;
+
+/// Returns the plan: pass checks are fast and go first, bookings run at most once.
+///
+/// # Errors
+///
+/// Never: every name in it is valid.
+pub fn tesfaye() -> Result<Plan, PlanError> {
+    let mut plan = Plan::new("lanterns")?;
+    let routes = plan.service("fanos-routes")?.connections(CONNECTIONS).add();
+    let till = plan.service("fanos-till")?.connections(CONNECTIONS).add();
+    let gates = plan.service("fanos-gates")?.connections(CONNECTIONS).add();
+    let walks = plan.pool("walks", &routes)?;
+    let bookings = plan.pool("bookings", &till)?;
+    let passes = plan.pool("passes", &gates)?;
+    plan.route("walks", HOST, PathMatch::Prefix("/walks".into()))?
+        .to(&walks, 1)
+        .timeout_ms(3_000)
+        .add();
+    plan.route("banners", HOST, PathMatch::Prefix("/banners".into()))?
+        .method("PUT")
+        .to(&walks, 1)
+        .timeout_ms(60_000)
+        .idempotent(true)
+        .priority(Priority::Low)
+        .body_limit(BANNER_BYTES)
+        .add();
+    plan.route("bookings", HOST, PathMatch::Prefix("/bookings".into()))?
+        .to(&bookings, 1)
+        .timeout_ms(10_000)
+        .idempotent(false)
+        .priority(Priority::High)
+        .add();
+    plan.route("passes", HOST, PathMatch::Prefix("/passes".into()))?
+        .to(&passes, 1)
+        .timeout_ms(1_000)
+        .retries(1)
+        .priority(Priority::High)
+        .add();
+    Ok(plan)
+}
--- /dev/null
+++ b/crates/proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! Proofs of what must always hold, under failure: see `tests/`.
--- /dev/null
+++ b/crates/proof/tests/path.rs
@@ -0,0 +1,69 @@
+//! The whole path through separate processes: accept, call, drain, stop.
+
+use std::time::Duration;
+
+use harness::{Caller, Error, Fleet, VmSpec, wait_until};
+
+/// Longest wait for a condition that must come about.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Host of the example.
+const HOST: &str = "redakce.brno.example";
+
+/// Starts two daemons in two failure domains, with an upstream of `proofdesk` beside each.
+async fn open() -> Result<Fleet, Error> {
+    let mut fleet = Fleet::open(&["redakce"]).await?;
+    for (vm, domain) in [("a-1", "morava-a"), ("b-1", "morava-b")] {
+        let daemon = fleet
+            .start_daemon(VmSpec::new(vm, domain, "cz-morava"))
+            .await?;
+        fleet.start_upstream(daemon, "proofdesk").await?;
+    }
+    Ok(fleet)
+}
+
+#[tokio::test]
+async fn accepted_configuration_serves_calls_until_drained_and_stopped() -> Result<(), Error> {
+    let mut fleet = open().await?;
+    let config = plan::brno()
+        .expect("the example is valid")
+        .to_json()
+        .expect("JSON");
+    let id = "accept-1".parse().expect("a valid id");
+    let accepted = fleet.accept(0, &config, &id).await?;
+    fleet.wait_serving(accepted.version, LIMIT).await?;
+
+    let caller = Caller::default();
+    for daemon in &fleet.daemons {
+        wait_until("an answer", LIMIT, async || {
+            let answer = caller.get(daemon.caller, HOST, "/proofs/7").await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await?;
+    }
+
+    // A drained upstream gets no call; the other one answers them all.
+    fleet.daemons[1]
+        .client()
+        .drain(&"b-1".parse().expect("a valid id"))
+        .await?;
+    let before = fleet.upstreams[1].control.runs().await?.len();
+    // The other failure domain's upstream may not be known here yet.
+    wait_until("an answer of the other upstream", LIMIT, async || {
+        let answer = caller.get(fleet.daemons[1].caller, HOST, "/proofs/7").await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    })
+    .await?;
+    for _ in 0..50 {
+        let answer = caller
+            .get(fleet.daemons[1].caller, HOST, "/proofs/7")
+            .await?;
+        assert!(answer.status.is_success(), "{answer:?}");
+    }
+    assert_eq!(fleet.upstreams[1].control.runs().await?.len(), before);
+
+    let daemon = fleet.daemons.remove(1);
+    let status = daemon.process.stop(LIMIT).await?;
+    assert!(status.success(), "{status}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/spread/src/node.rs
@@ -0,0 +1,161 @@
+//! The running distribution of one daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ledger::Ledger;
+use model::VmId;
+use slog::Logger;
+use store::Store;
+use table::Table;
+use tokio::net::TcpListener;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tonic::transport::Server as GrpcServer;
+use tonic::transport::server::TcpIncoming;
+use wire::fleet::DrainRequest;
+use wire::fleet::fleet_server::FleetServer;
+
+use crate::hub::{Hub, MAX_MESSAGE_BYTES};
+use crate::server::{KeyCheck, Server};
+use crate::{Counts, Settings, Summary, follow, repair};
+
+/// Most relays of the whole fleet.
+const MAX_SUMMARIES: u32 = 256;
+
+/// The distribution could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum SpawnError {
+    /// The listener has no address.
+    #[error("the fleet port has no address ({0}); check `listen.fleet`")]
+    Address(#[from] std::io::Error),
+}
+
+/// What the rest of the daemon does when another daemon asks for it.
+pub trait Local: std::fmt::Debug + Send + Sync {
+    /// Drains the upstream beside this daemon; returns whether there is one.
+    fn drain(&self) -> bool;
+}
+
+/// Another daemon could not be asked to drain its upstream.
+#[derive(Debug, thiserror::Error)]
+pub enum DrainError {
+    /// No daemon of this VM is known.
+    #[error("no daemon on VM `{0}` is known; see `sardinestall status`")]
+    NoVm(VmId),
+    /// The daemon did not answer.
+    #[error("the daemon on VM `{0}` did not answer ({1}); try again")]
+    Unreachable(VmId, String),
+    /// The daemon has no upstream.
+    #[error("VM `{0}` has no upstream to drain")]
+    NoUpstream(VmId),
+}
+
+/// The running distribution of one daemon.
+#[derive(Debug)]
+pub struct Node {
+    hub: Arc<Hub>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+impl Node {
+    /// Starts the distribution on `listener` and returns its handle.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener has no address.
+    pub fn spawn(
+        settings: Settings,
+        listener: TcpListener,
+        table: Arc<Table>,
+        ledger: Arc<Ledger>,
+        store: Arc<dyn Store>,
+        local: Arc<dyn Local>,
+        log: Logger,
+    ) -> Result<Self, SpawnError> {
+        let address = listener.local_addr()?;
+        let key = KeyCheck {
+            key: settings.key.clone(),
+        };
+        let hub = Arc::new(Hub::new(settings, address, table, ledger, store, log));
+        let service = FleetServer::new(Server {
+            hub: Arc::clone(&hub),
+            local,
+        })
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        let service = tonic::service::interceptor::InterceptedService::new(service, key);
+        let stop = hub.stop.clone();
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move {
+            let server = GrpcServer::builder().add_service(service);
+            // The links end on the same signal, so nothing keeps the server open.
+            let _ = server
+                .serve_with_incoming_shutdown(incoming, stop.cancelled_owned())
+                .await;
+        });
+        tasks.spawn(follow::run(Arc::clone(&hub)));
+        tasks.spawn(repair::run(Arc::clone(&hub)));
+        let tasks = Mutex::new(tasks);
+        Ok(Self { hub, tasks })
+    }
+
+    /// Returns the fleet address.
+    pub fn address(&self) -> SocketAddr {
+        self.hub.address
+    }
+
+    /// Returns the daemons by version at and below this one.
+    pub fn counts(&self) -> Counts {
+        self.hub.counts()
+    }
+
+    /// Returns whether this daemon is below a relay or one itself.
+    pub fn is_rooted(&self) -> bool {
+        !self.hub.path.borrow().is_empty()
+    }
+
+    /// Returns the daemons by version over the whole fleet, as the relays last reported them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does.
+    pub async fn fleet_counts(&self) -> Result<Counts, store::Error> {
+        let entries = self.hub.store.list("summary/", "", MAX_SUMMARIES).await?;
+        let mut sum = Counts::default();
+        for entry in entries {
+            if let Ok(summary) = serde_json::from_slice::<Summary>(&entry.value) {
+                sum.merge(&Counts(summary.versions));
+            }
+        }
+        Ok(sum)
+    }
+
+    /// Asks the daemon on `vm` to drain the upstream beside it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon is not known, does not answer, or has no upstream.
+    pub async fn drain(&self, vm: &VmId) -> Result<(), DrainError> {
+        let record = self.hub.table.members().get(vm);
+        let record = record.ok_or_else(|| DrainError::NoVm(vm.clone()))?;
+        let fail =
+            |status: tonic::Status| DrainError::Unreachable(vm.clone(), status.message().into());
+        let mut client = self.hub.client(&record.fleet.to_string()).map_err(fail)?;
+        let message = DrainRequest { vm: vm.to_string() };
+        let request = self.hub.request(message).map_err(fail)?;
+        let reply = client.drain(request).await.map_err(fail)?;
+        if reply.into_inner().draining {
+            return Ok(());
+        }
+        Err(DrainError::NoUpstream(vm.clone()))
+    }
+
+    /// Hands back the duty, ends the links and stops.
+    pub async fn stop(&self) {
+        self.hub.stop.cancel();
+        let mut tasks = self.tasks.lock().await;
+        while tasks.join_next().await.is_some() {}
+    }
+}
--- /dev/null
+++ b/crates/spread/src/relay.rs
@@ -0,0 +1,174 @@
+//! The relay's duty: watches the head for one failure domain, by lease.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ledger::Ledger;
+use model::Version;
+use slog::{info, warn};
+use store::{Expect, LeaseId, Put, Revision};
+use table::{Table, Whole};
+use tokio::time::{interval, sleep};
+
+use crate::hub::Hub;
+use crate::{Summary, mesh};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed call to the store.
+const STORE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Changes behind which the head is fetched whole.
+const MAX_BEHIND: u64 = 64;
+
+/// What became of a claim to the relay's duty.
+pub(crate) enum Claim {
+    /// This daemon holds it.
+    Held(Duty),
+    /// Others hold it; their fleet addresses.
+    Others(Vec<String>),
+}
+
+/// A relay's duty, held by lease.
+pub(crate) struct Duty {
+    lease: LeaseId,
+    slot: u32,
+}
+
+/// Claims a vacant relay's slot of this failure domain.
+///
+/// # Errors
+///
+/// Fails if the store does.
+pub(crate) async fn claim(hub: &Hub) -> Result<Claim, store::Error> {
+    let prefix = format!("relay/{}/", hub.settings.domain);
+    let entries = hub.store.list(&prefix, "", hub.settings.relays).await?;
+    let own = hub.address.to_string();
+    let slot_key = |slot: u32| format!("{prefix}{slot}");
+    let taken = |slot: &u32| entries.iter().any(|entry| entry.key == slot_key(*slot));
+    if let Some(slot) = (0..hub.settings.relays).find(|slot| !taken(slot)) {
+        let lease = hub.store.grant(hub.settings.lease.duration()).await?;
+        let value = own.clone().into_bytes();
+        let put = hub
+            .store
+            .put(&slot_key(slot), value, Expect::Absent, Some(lease))
+            .await?;
+        if let Put::Done(_) = put {
+            return Ok(Claim::Held(Duty { lease, slot }));
+        }
+        hub.store.revoke(lease).await?;
+    }
+    let addresses = entries
+        .into_iter()
+        .filter_map(|entry| String::from_utf8(entry.value).ok())
+        .filter(|address| *address != own);
+    Ok(Claim::Others(addresses.collect()))
+}
+
+impl Duty {
+    /// Does the duty until the lease is lost or the daemon stops.
+    pub(crate) async fn run(self, hub: &Arc<Hub>) {
+        info!(hub.log, "relay duty taken"; "slot" => self.slot);
+        hub.path.send_replace(vec![hub.settings.vm.clone()]);
+        tokio::select! {
+            () = watch_head(hub) => {}
+            () = self.keep_lease(hub) => warn!(hub.log, "relay duty lost"),
+            () = mesh::run(hub) => {}
+            () = self.summarise(hub) => {}
+            () = hub.stop.cancelled() => {
+                if let Err(error) = hub.store.revoke(self.lease).await {
+                    warn!(hub.log, "relay duty not handed back"; "error" => %error);
+                }
+            }
+        }
+    }
+
+    /// Renews the lease; returns when the store says that it has lapsed.
+    ///
+    /// While the store is out nobody else can take the duty, so this daemon keeps it.
+    async fn keep_lease(&self, hub: &Hub) {
+        let mut ticks = interval(hub.settings.lease.duration() / 3);
+        loop {
+            ticks.tick().await;
+            if let Ok(false) = hub.store.renew(self.lease).await {
+                return;
+            }
+        }
+    }
+
+    /// Writes what the daemons below serve to the store, whenever it changed.
+    async fn summarise(&self, hub: &Hub) {
+        let key = format!("summary/{}/{}", hub.settings.domain, self.slot);
+        let mut ticks = interval(hub.settings.beacon.duration());
+        let mut written = None;
+        loop {
+            ticks.tick().await;
+            let summary = Summary {
+                versions: hub.counts().0,
+            };
+            if written.as_ref() == Some(&summary) {
+                continue;
+            }
+            let Ok(json) = serde_json::to_vec(&summary) else {
+                continue;
+            };
+            let put = hub
+                .store
+                .put(&key, json, Expect::Any, Some(self.lease))
+                .await;
+            written = put.is_ok().then_some(summary);
+        }
+    }
+}
+
+/// Puts every new head in force.
+async fn watch_head(hub: &Hub) {
+    let mut after = Revision(0);
+    loop {
+        if let Err(error) = catch_up(&hub.ledger, &hub.table).await {
+            warn!(hub.log, "head not put in force"; "error" => %error);
+            sleep(STORE_PAUSE).await;
+            continue;
+        }
+        match hub.store.watch("head", after, WATCH_WAIT).await {
+            Ok(changes) => after = changes.revision,
+            Err(_) => sleep(STORE_PAUSE).await,
+        }
+    }
+}
+
+/// Why the head was not put in force.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CatchUpError {
+    #[error(transparent)]
+    Ledger(#[from] ledger::Error),
+    #[error(transparent)]
+    Apply(#[from] table::ApplyError),
+}
+
+/// Puts the head of the ledger in force.
+///
+/// # Errors
+///
+/// Fails if the store does or the head cannot be served.
+pub(crate) async fn catch_up(ledger: &Ledger, table: &Table) -> Result<(), CatchUpError> {
+    let tip = ledger.tip().await?;
+    let held = table.snapshot().version;
+    if tip.version <= held {
+        return Ok(());
+    }
+    if held > Version::default() && tip.version.get() - held.get() <= MAX_BEHIND {
+        let changes = ledger.since(&tip, held).await?;
+        let bytes: Vec<Vec<u8>> = changes.iter().map(|change| change.to_bytes()).collect();
+        table.apply(&bytes)?;
+        return Ok(());
+    }
+    if let Some(change) = &tip.change {
+        table.install(Whole {
+            change: Arc::from(change.to_bytes()),
+            state: tip.state.clone(),
+        })?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/table/src/snapshot.rs
@@ -0,0 +1,147 @@
+//! The immutable snapshot that a call keeps from its arrival to its answer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use http::{HeaderMap, Method};
+use model::{Digest, PathMatch, Pool, Route, Service, Version, Weight};
+
+use crate::Upstream;
+
+/// Position of a pool in its snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolIndex(pub(crate) usize);
+
+/// Position of a route in its snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteIndex(pub(crate) usize);
+
+/// A pool with its service and the upstreams that take calls.
+#[derive(Debug, Clone)]
+pub struct PoolTable {
+    /// The pool as configured.
+    pub pool: Pool,
+    /// Its service as configured.
+    pub service: Service,
+    /// Upstreams that take calls; empty while there is none.
+    pub upstreams: Arc<[Arc<Upstream>]>,
+}
+
+/// A route with its targets resolved.
+#[derive(Debug, Clone)]
+pub struct RouteTable {
+    /// The route as configured.
+    pub route: Route,
+    /// Targets, at least one, not all of weight 0.
+    pub targets: Vec<(PoolIndex, Weight)>,
+}
+
+/// The routes of one host, by path.
+#[derive(Debug, Clone, Default)]
+pub struct HostTable {
+    pub(crate) exact: HashMap<String, Vec<RouteIndex>>,
+    pub(crate) prefix: HashMap<String, Vec<RouteIndex>>,
+}
+
+/// Configuration and membership at one instant. Every index inside resolves.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Digest of the version's change.
+    pub digest: Digest,
+    pub(crate) pools: Vec<Arc<PoolTable>>,
+    pub(crate) routes: Vec<Arc<RouteTable>>,
+    pub(crate) hosts: HashMap<String, HostTable>,
+}
+
+impl Snapshot {
+    /// Returns the snapshot before the first version: it has no route.
+    pub fn empty() -> Self {
+        Self {
+            version: Version::default(),
+            digest: Digest::ZERO,
+            pools: Vec::new(),
+            routes: Vec::new(),
+            hosts: HashMap::new(),
+        }
+    }
+
+    /// Returns the pool at `index`.
+    pub fn pool(&self, index: PoolIndex) -> &Arc<PoolTable> {
+        &self.pools[index.0]
+    }
+
+    /// Returns the pools.
+    pub fn pools(&self) -> &[Arc<PoolTable>] {
+        &self.pools
+    }
+
+    /// Returns the routes.
+    pub fn routes(&self) -> &[Arc<RouteTable>] {
+        &self.routes
+    }
+
+    /// Returns the route that takes a call: the exact path first, then the longest prefix; among
+    /// equals the one with most header conditions.
+    pub fn find(
+        &self,
+        host: &str,
+        path: &str,
+        method: &Method,
+        headers: &HeaderMap,
+    ) -> Option<&Arc<RouteTable>> {
+        let named = self.hosts.get(host);
+        let tables = named.into_iter().chain(self.hosts.get("*"));
+        let mut candidates = tables.flat_map(|table| table.candidates(path));
+        let index = candidates.find(|index| self.routes[index.0].matches(method, headers))?;
+        Some(&self.routes[index.0])
+    }
+}
+
+impl HostTable {
+    /// Returns the routes that match `path`, the most specific first.
+    fn candidates<'a>(&'a self, path: &'a str) -> impl Iterator<Item = RouteIndex> + 'a {
+        let exact = self.exact.get(path).into_iter().flatten();
+        let prefixes = prefixes(path).filter_map(|prefix| self.prefix.get(prefix));
+        exact.chain(prefixes.flatten()).copied()
+    }
+}
+
+/// Returns `path` and everything above it, the longest first: `/a/b`, `/a`, `/`.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let trimmed = path.trim_end_matches('/');
+    let longest = if trimmed.is_empty() { "/" } else { trimmed };
+    std::iter::successors(Some(longest), |path| match path.rfind('/') {
+        None => None,
+        Some(0) if path.len() > 1 => Some("/"),
+        Some(0) => None,
+        Some(end) => Some(&path[..end]),
+    })
+}
+
+impl RouteTable {
+    fn matches(&self, method: &Method, headers: &HeaderMap) -> bool {
+        let route = &self.route;
+        let method_fits =
+            route.methods.is_empty() || route.methods.iter().any(|name| name == method.as_str());
+        method_fits
+            && route.headers.iter().all(|wanted| {
+                let found = headers.get(&wanted.name);
+                match (&wanted.value, found) {
+                    (_, None) => false,
+                    (None, Some(_)) => true,
+                    (Some(value), Some(found)) => found.as_bytes() == value.as_bytes(),
+                }
+            })
+    }
+
+    /// Returns the path as it stands in the host's table.
+    pub(crate) fn path_key(&self) -> &str {
+        match &self.route.path {
+            PathMatch::Exact(path) => path,
+            PathMatch::Prefix(path) if path == "/" => path,
+            PathMatch::Prefix(path) => path.trim_end_matches('/'),
+        }
+    }
+}
--- /dev/null
+++ b/crates/table/src/table.rs
@@ -0,0 +1,274 @@
+//! The version in force and its snapshot.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use member::{LinkId, Members, Record};
+use model::{Change, Digest, Problems, State, StateError, Version};
+use tokio::sync::watch;
+
+use crate::compile::{compile, refresh};
+use crate::history::History;
+use crate::snapshot::Snapshot;
+
+/// Why a version was not put in force. The one in force stays.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum ApplyError {
+    /// The version does not follow the one in force; the versions between are needed first.
+    #[error("version {offered} does not follow version {held}; fetch what lies between")]
+    Gap {
+        /// Version in force.
+        held: Version,
+        /// Version offered.
+        offered: Version,
+    },
+    /// The bytes are no change.
+    #[error("a change cannot be read ({0}); check that both daemons run one release")]
+    Unreadable(String),
+    /// The change does not lead to the state that it promises.
+    #[error(transparent)]
+    State(#[from] StateError),
+    /// The version cannot be served.
+    #[error("version {version} cannot be served:\n{problems}")]
+    Invalid {
+        /// Version offered.
+        version: Version,
+        /// What is wrong with it.
+        problems: Problems,
+    },
+}
+
+/// What became of an offered version.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Applied {
+    /// It is now in force.
+    Now(Version),
+    /// One at least as new was in force already; nothing changed.
+    Stale,
+}
+
+/// A whole version.
+#[derive(Debug, Clone)]
+pub struct Whole {
+    /// Its change, as canonical bytes.
+    pub change: Arc<[u8]>,
+    /// Every item of it.
+    pub state: State,
+}
+
+/// The version in force, under one lock.
+#[derive(Debug)]
+struct Inner {
+    version: Version,
+    digest: Digest,
+    state: State,
+    change: Arc<[u8]>,
+    history: History,
+}
+
+/// The version in force of one daemon, and the snapshot that its calls use.
+#[derive(Debug)]
+pub struct Table {
+    members: Arc<Members>,
+    inner: Mutex<Inner>,
+    current: ArcSwap<Snapshot>,
+    version: watch::Sender<Version>,
+}
+
+impl Table {
+    /// Opens a table without any version.
+    pub fn open(members: Arc<Members>) -> Self {
+        Self {
+            members,
+            inner: Mutex::new(Inner {
+                version: Version::default(),
+                digest: Digest::ZERO,
+                state: State::empty(),
+                change: Arc::from([]),
+                history: History::default(),
+            }),
+            current: ArcSwap::from_pointee(Snapshot::empty()),
+            version: watch::Sender::new(Version::default()),
+        }
+    }
+
+    /// Returns the snapshot in force.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.current.load_full()
+    }
+
+    /// Returns the membership that the snapshots are made from.
+    pub fn members(&self) -> &Arc<Members> {
+        &self.members
+    }
+
+    /// Returns a receiver that sees each newer version.
+    pub fn subscribe(&self) -> watch::Receiver<Version> {
+        self.version.subscribe()
+    }
+
+    /// Puts the newest of `changes` in force, given as canonical bytes, oldest first.
+    ///
+    /// Changes that are in force already are passed over.
+    ///
+    /// # Errors
+    ///
+    /// On every error the version in force stays, whole.
+    pub fn apply<B: AsRef<[u8]>>(&self, changes: &[B]) -> Result<Applied, ApplyError> {
+        let mut inner = self.lock();
+        let mut state = inner.state.clone();
+        let mut version = inner.version;
+        let mut digest = inner.digest;
+        let mut steps = Vec::new();
+        for bytes in changes {
+            let bytes = bytes.as_ref();
+            let change = read(bytes)?;
+            if change.version <= version {
+                continue;
+            }
+            if change.parent != digest || change.version != version.next() {
+                return Err(ApplyError::Gap {
+                    held: version,
+                    offered: change.version,
+                });
+            }
+            state = state.apply(&change)?;
+            version = change.version;
+            digest = Digest::of(bytes);
+            steps.push((change, Arc::<[u8]>::from(bytes)));
+        }
+        let Some((last, bytes)) = steps.last() else {
+            return Ok(Applied::Stale);
+        };
+        self.serve(&mut inner, state, last, Arc::clone(bytes))?;
+        for (change, bytes) in steps {
+            inner.history.push(change.version, change.parent, bytes);
+        }
+        Ok(Applied::Now(version))
+    }
+
+    /// Puts a whole version in force, whatever lies between.
+    ///
+    /// # Errors
+    ///
+    /// On every error the version in force stays, whole.
+    pub fn install(&self, whole: Whole) -> Result<Applied, ApplyError> {
+        let change = read(&whole.change)?;
+        let found = whole.state.root();
+        if found != change.root {
+            return Err(ApplyError::State(StateError::Root {
+                stated: change.root,
+                found,
+            }));
+        }
+        let mut inner = self.lock();
+        if change.version <= inner.version {
+            return Ok(Applied::Stale);
+        }
+        self.serve(&mut inner, whole.state, &change, whole.change)?;
+        inner.history.clear();
+        Ok(Applied::Now(change.version))
+    }
+
+    /// Merges membership records that came over `link`, and returns those that were news.
+    pub fn merge(&self, records: Vec<Record>, link: LinkId) -> Vec<Record> {
+        let _inner = self.lock();
+        let old = self.members.all();
+        let news = self.members.merge(records, link);
+        self.refresh(&old, &news);
+        news
+    }
+
+    /// Writes this daemon's own membership record anew.
+    pub fn announce(&self, update: impl FnOnce(&mut Record)) {
+        let _inner = self.lock();
+        let old = self.members.own();
+        let record = self.members.announce(update);
+        self.refresh(&[old], &[record]);
+    }
+
+    /// Marks the record of `vm` as expired, if its writer did not write since.
+    pub fn expire(&self, vm: &model::VmId) {
+        let _inner = self.lock();
+        let record = self.members.expire(vm);
+        self.refresh(&[], record.as_slice());
+    }
+
+    /// Returns the canonical bytes of the changes after `version`, whose change has `digest`.
+    ///
+    /// Returns `None` if they are no longer all kept.
+    pub fn since(&self, version: Version, digest: Digest) -> Option<Vec<Arc<[u8]>>> {
+        let inner = self.lock();
+        if version >= inner.version {
+            return Some(Vec::new());
+        }
+        inner.history.since(version, digest)
+    }
+
+    /// Returns the version in force, whole; `None` before the first.
+    pub fn whole(&self) -> Option<Whole> {
+        let inner = self.lock();
+        if inner.version == Version::default() {
+            return None;
+        }
+        Some(Whole {
+            change: Arc::clone(&inner.change),
+            state: inner.state.clone(),
+        })
+    }
+
+    /// Swaps in the snapshot of `state`; `inner` changes only if it compiles.
+    fn serve(
+        &self,
+        inner: &mut Inner,
+        state: State,
+        change: &Change,
+        bytes: Arc<[u8]>,
+    ) -> Result<(), ApplyError> {
+        let digest = Digest::of(&bytes);
+        let records = self.members.all();
+        let old = self.current.load();
+        let snapshot =
+            compile(&state, change.version, digest, &records, &old).map_err(|problems| {
+                ApplyError::Invalid {
+                    version: change.version,
+                    problems,
+                }
+            })?;
+        inner.version = change.version;
+        inner.digest = digest;
+        inner.state = state;
+        inner.change = bytes;
+        self.current.store(Arc::new(snapshot));
+        self.version.send_replace(change.version);
+        Ok(())
+    }
+
+    /// Swaps in a snapshot with the upstreams of every service that `news` touches.
+    fn refresh(&self, old: &[Record], news: &[Record]) {
+        let touched = |record: &&Record| news.iter().any(|new| new.vm == record.vm);
+        let before = old.iter().filter(touched);
+        let services: BTreeSet<_> = before
+            .chain(news)
+            .filter_map(|record| record.service.clone())
+            .collect();
+        if services.is_empty() {
+            return;
+        }
+        let records = self.members.all();
+        let mut snapshot = (*self.current.load_full()).clone();
+        for service in &services {
+            snapshot = refresh(&snapshot, service, &records);
+        }
+        self.current.store(Arc::new(snapshot));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn read(bytes: &[u8]) -> Result<Change, ApplyError> {
+    Change::from_bytes(bytes).map_err(|error| ApplyError::Unreadable(error.to_string()))
+}
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,160 @@
+//! Everything in one process: a store, two failure domains, daemons, upstreams, and the example
+//! of Brno.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use admin::{Client, TokenHash};
+use daemon::{
+    Daemon, FleetSettings, ListenSettings, LogSettings, OperatorSettings, Settings, StoreSettings,
+    UpstreamSettings, VmSettings,
+};
+use model::Secret;
+use slog::Logger;
+use standin::{Kv, Upstream, UpstreamSettings as StandinSettings};
+use table::Snapshot;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+use crate::command::{interrupted, new_accept_id, wait};
+use crate::error::Error;
+use crate::logging;
+
+/// Token of the demo's only operator.
+const TOKEN: &str = "demo";
+
+/// Key of the demo's fleet.
+const FLEET_KEY: &str = "demo-fleet";
+
+/// VMs of the demo: id, failure domain and service of the upstream.
+const VMS: &[(&str, &str, &str)] = &[
+    ("morava-a-1", "morava-a", "proofdesk"),
+    ("morava-a-2", "morava-a", "decisions"),
+    ("morava-b-1", "morava-b", "proofdesk"),
+    ("morava-b-2", "morava-b", "galleys"),
+];
+
+/// Longest wait until every route has an upstream.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at the routes.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// The running demo.
+struct Demo {
+    daemons: Vec<Daemon>,
+    _upstreams: Vec<Upstream>,
+}
+
+/// Runs the demo until it is interrupted.
+pub(crate) async fn run() -> Result<(), Error> {
+    let log = logging::open(&LogSettings::default());
+    let mut demo = Demo::spawn(&log).await?;
+    demo.accept().await?;
+    let addresses = demo.daemons[0].addresses();
+    println!(
+        "ready {{\"caller\":\"http://{}\",\"admin\":\"http://{}\"}}",
+        addresses.caller, addresses.admin
+    );
+    interrupted().await?;
+    for daemon in demo.daemons.drain(..).rev() {
+        daemon.stop().await;
+    }
+    Ok(())
+}
+
+impl Demo {
+    async fn spawn(log: &Logger) -> Result<Self, Error> {
+        let kv = Kv::open();
+        let mut daemons = Vec::new();
+        let mut upstreams = Vec::new();
+        for (vm, domain, service) in VMS {
+            let settings = settings(vm, domain)?;
+            let daemon = Daemon::spawn_on(settings, Arc::new(kv.clone()), log.clone()).await?;
+            upstreams.push(upstream(vm, service, daemon.addresses().announce).await?);
+            daemons.push(daemon);
+        }
+        Ok(Self {
+            daemons,
+            _upstreams: upstreams,
+        })
+    }
+
+    /// Accepts the example and waits until every route of it works on every daemon.
+    async fn accept(&self) -> Result<(), Error> {
+        let plan = plan::brno().map_err(fail)?;
+        let config = plan.to_json().map_err(fail)?.into_bytes();
+        let admin = self.daemons[0].addresses().admin;
+        let client = Client::open(admin, Some(Secret::new(TOKEN)));
+        let accepted = client
+            .accept(config, &new_accept_id(), "the example of Brno")
+            .await?;
+        wait(&client, accepted.version).await?;
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while !self
+            .daemons
+            .iter()
+            .all(|daemon| has_upstreams(&daemon.table().snapshot()))
+        {
+            if Instant::now() >= deadline {
+                return Err(Error::Demo(
+                    "the upstreams did not announce themselves".into(),
+                ));
+            }
+            sleep(READY_PAUSE).await;
+        }
+        Ok(())
+    }
+}
+
+fn has_upstreams(snapshot: &Snapshot) -> bool {
+    snapshot
+        .pools()
+        .iter()
+        .all(|pool| !pool.upstreams.is_empty())
+}
+
+async fn upstream(vm: &str, service: &str, daemon: SocketAddr) -> Result<Upstream, Error> {
+    let settings = StandinSettings {
+        vm: vm.parse().map_err(fail)?,
+        service: service.parse().map_err(fail)?,
+        daemon,
+        slots: 12,
+        connections: 130,
+    };
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let control = TcpListener::bind(("127.0.0.1", 0)).await?;
+    Ok(Upstream::spawn(settings, listener, control)?)
+}
+
+fn settings(vm: &str, domain: &str) -> Result<Settings, Error> {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    Ok(Settings {
+        vm: VmSettings {
+            id: vm.parse().map_err(fail)?,
+            failure_domain: domain.parse().map_err(fail)?,
+            region: "cz-morava".parse().map_err(fail)?,
+        },
+        listen: ListenSettings {
+            caller: free,
+            gate: free,
+            fleet: free,
+            admin: free,
+            announce: free,
+        },
+        fleet: FleetSettings::with_key(Secret::new(FLEET_KEY)),
+        store: StoreSettings { address: free },
+        upstream: UpstreamSettings::default(),
+        log: LogSettings::default(),
+        operators: vec![OperatorSettings {
+            name: "demo".parse().map_err(fail)?,
+            teams: vec!["redakce".parse().map_err(fail)?],
+            token_hash: TokenHash::of(TOKEN),
+        }],
+    })
+}
+
+fn fail(error: impl std::fmt::Display) -> Error {
+    Error::Demo(error.to_string())
+}
