Hold an operator's drain against the upstream's own heartbeats

Cause: a drain replaced the upstream's last announcement, and its next heartbeat, 500 ms later, said `ready` again and undid it. Ruled out: stale tables of callers (the gate itself let the calls in).

Change: the drain is kept apart from the announcement and stands above it until the upstream falls silent or another one takes its place.

New unit tests in `call` hold the rule.

--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -41,6 +41,22 @@
 struct Announced {
     announcement: Announcement,
     expires: Instant,
+    /// Whether an operator drains the upstream, whatever it says itself.
+    drained: bool,
+}
+
+impl Announced {
+    /// Returns the upstream's word, with an operator's drain above it, unless it fell silent.
+    fn current(&self) -> Option<Announcement> {
+        if self.expires <= Instant::now() {
+            return None;
+        }
+        let mut announcement = self.announcement.clone();
+        if self.drained {
+            announcement.state = Readiness::Draining;
+        }
+        Some(announcement)
+    }
 }
 
 /// The upstream beside this daemon.
@@ -59,56 +75,62 @@
         })
     }
 
-    /// Takes an upstream's word; returns whether it differs from its last one.
-    pub fn announce(&self, announcement: Announcement) -> bool {
-        let expires = Instant::now() + self.silence.duration();
-        let mut changed = false;
+    /// Takes an upstream's word.
+    ///
+    /// An operator's drain holds on until the upstream falls silent or is another one.
+    pub fn announce(&self, announcement: Announcement) {
+        let now = Instant::now();
         self.announced.send_modify(|announced| {
-            changed = announced.as_ref().map(|old| &old.announcement) != Some(&announcement);
+            let drained = announced.as_ref().is_some_and(|old| {
+                old.drained && old.expires > now && old.announcement.address == announcement.address
+            });
             *announced = Some(Announced {
                 announcement,
-                expires,
+                expires: now + self.silence.duration(),
+                drained,
             });
         });
-        changed
     }
 
-    /// Makes the upstream drain, whatever it last said; returns whether there is one.
+    /// Makes the upstream drain, whatever it says; returns whether there is one.
     pub fn drain(&self) -> bool {
-        let Some(mut announcement) = self.current() else {
-            return false;
-        };
-        announcement.state = Readiness::Draining;
-        self.announce(announcement);
-        true
+        self.announced
+            .send_if_modified(|announced| match announced {
+                Some(announced) if announced.expires > Instant::now() => {
+                    announced.drained = true;
+                    true
+                }
+                _ => false,
+            })
     }
 
-    /// Returns what the upstream last said, unless it fell silent.
+    /// Returns the upstream's word, with an operator's drain above it, unless it fell silent.
     pub fn current(&self) -> Option<Announcement> {
-        let announced = self.announced.borrow();
-        let live = announced
+        self.announced
+            .borrow()
             .as_ref()
-            .filter(|announced| announced.expires > Instant::now());
-        live.map(|announced| announced.announcement.clone())
+            .and_then(Announced::current)
     }
 
-    /// Waits until the upstream falls silent or says something new.
-    pub async fn changed(&self) {
+    /// Waits until what [`Backend::current`] returns is no longer `seen`.
+    pub async fn changed(&self, seen: Option<&Announcement>) {
         let mut receiver = self.announced.subscribe();
-        let announced = receiver.borrow_and_update().clone();
-        let Some(announced) = announced.filter(|announced| announced.expires > Instant::now())
-        else {
-            let _ = receiver.changed().await;
-            return;
-        };
         loop {
-            let expires = match &*receiver.borrow_and_update() {
-                Some(now) if now.announcement == announced.announcement => now.expires,
-                _ => return,
+            let expires = {
+                let announced = receiver.borrow_and_update();
+                if announced.as_ref().and_then(Announced::current).as_ref() != seen {
+                    return;
+                }
+                announced.as_ref().map(|announced| announced.expires)
             };
-            tokio::select! {
-                () = tokio::time::sleep_until(expires) => return,
-                _ = receiver.changed() => {}
+            match expires.filter(|expires| *expires > Instant::now()) {
+                Some(expires) => tokio::select! {
+                    () = tokio::time::sleep_until(expires) => {}
+                    _ = receiver.changed() => {}
+                },
+                None => {
+                    let _ = receiver.changed().await;
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/call/tests/backend.rs
@@ -0,0 +1,42 @@
+//! The upstream's own word and an operator's drain.
+
+use call::{Announcement, Backend, Readiness};
+use model::Millis;
+
+fn ready(port: u16) -> Announcement {
+    Announcement {
+        service: "proofdesk".parse().expect("a valid name"),
+        address: ([127, 0, 0, 1], port).into(),
+        slots: 12,
+        connections: 110,
+        state: Readiness::Ready,
+    }
+}
+
+fn state(backend: &Backend) -> Option<Readiness> {
+    backend.current().map(|announcement| announcement.state)
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_outlasts_the_upstreams_own_heartbeats() {
+    let backend = Backend::open(Millis::new(3_000));
+    assert!(!backend.drain());
+    backend.announce(ready(1));
+    assert!(backend.drain());
+    backend.announce(ready(1));
+    assert_eq!(state(&backend), Some(Readiness::Draining));
+    backend.announce(ready(2));
+    assert_eq!(state(&backend), Some(Readiness::Ready));
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_ends_the_upstream_and_its_drain() {
+    let backend = Backend::open(Millis::new(3_000));
+    backend.announce(ready(1));
+    backend.drain();
+    let seen = backend.current();
+    backend.changed(seen.as_ref()).await;
+    assert_eq!(state(&backend), None);
+    backend.announce(ready(1));
+    assert_eq!(state(&backend), Some(Readiness::Ready));
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -228,7 +228,7 @@
     loop {
         let announced = backend.current();
         table.announce(|record| describe(record, announced.as_ref()));
-        backend.changed().await;
+        backend.changed(announced.as_ref()).await;
     }
 }
 
