Index membership by service

Cause: each merge and each refresh cloned every record, 17,000 at the design size. The table now reads the old records of the merged VMs and the records of one service only; searches for a parent or a peer clone addresses, not records.

--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -1,10 +1,11 @@
 //! The merged records of all daemons.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use model::VmId;
+use model::{ServiceName, VmId};
 use tokio::sync::watch;
 
 use crate::{Record, UpstreamState};
@@ -31,6 +32,8 @@
     slots: BTreeMap<VmId, Slot>,
     /// VMs by the sequence of their newest record.
     order: BTreeMap<Sequence, VmId>,
+    /// VMs by the service of their record.
+    services: BTreeMap<ServiceName, BTreeSet<VmId>>,
     last: Sequence,
 }
 
@@ -126,6 +129,30 @@
             .collect()
     }
 
+    /// Returns the records of `service`, in the order of their VMs.
+    pub fn of_service(&self, service: &ServiceName) -> Vec<Record> {
+        let inner = self.lock();
+        let vms = inner.services.get(service).into_iter().flatten();
+        vms.map(|vm| inner.slots[vm].record.clone()).collect()
+    }
+
+    /// Returns what is known of the VMs that wrote `records`.
+    pub fn known(&self, records: &[Record]) -> Vec<Record> {
+        let inner = self.lock();
+        let slots = records
+            .iter()
+            .filter_map(|record| inner.slots.get(&record.vm));
+        slots.map(|slot| slot.record.clone()).collect()
+    }
+
+    /// Returns the fleet addresses of the other daemons that `filter` accepts.
+    pub fn addresses(&self, filter: impl Fn(&Record) -> bool) -> Vec<SocketAddr> {
+        let inner = self.lock();
+        let records = inner.slots.values().map(|slot| &slot.record);
+        let others = records.filter(|record| record.vm != self.own && filter(record));
+        others.map(|record| record.fleet).collect()
+    }
+
     /// Returns the records learned after `from`, but for those that came over `link`, and the
     /// sequence to ask from next.
     pub fn since(&self, from: Sequence, link: LinkId) -> (Vec<Record>, Sequence) {
@@ -174,6 +201,7 @@
         self.last = Sequence(self.last.0 + 1);
         let sequence = self.last;
         let vm = record.vm.clone();
+        let service = record.service.clone();
         let slot = Slot {
             record,
             sequence,
@@ -181,7 +209,24 @@
         };
         if let Some(old) = self.slots.insert(vm.clone(), slot) {
             self.order.remove(&old.sequence);
+            self.unlist(&old.record);
+        }
+        if let Some(service) = service {
+            self.services.entry(service).or_default().insert(vm.clone());
         }
         self.order.insert(sequence, vm);
     }
+
+    /// Takes `record` out of the index by service.
+    fn unlist(&mut self, record: &Record) {
+        let Some(service) = &record.service else {
+            return;
+        };
+        if let Some(vms) = self.services.get_mut(service) {
+            vms.remove(&record.vm);
+            if vms.is_empty() {
+                self.services.remove(service);
+            }
+        }
+    }
 }
--- a/crates/spread/src/follow.rs
+++ b/crates/spread/src/follow.rs
@@ -74,11 +74,11 @@
 fn candidates(hub: &Hub, mut relays: Vec<String>) -> VecDeque<String> {
     let mut rng = rand::rng();
     relays.shuffle(&mut rng);
-    let members = hub.table.members().all();
-    let near = members.iter().filter(|record| {
-        record.domain == hub.settings.domain && record.vm != hub.settings.vm && !record.expired
-    });
-    let mut near: Vec<String> = near.map(|record| record.fleet.to_string()).collect();
+    let near = hub
+        .table
+        .members()
+        .addresses(|record| record.domain == hub.settings.domain && record.is_alive());
+    let mut near: Vec<String> = near.iter().map(ToString::to_string).collect();
     near.shuffle(&mut rng);
     let mut seeds: Vec<String> = hub.settings.seeds.iter().map(ToString::to_string).collect();
     seeds.shuffle(&mut rng);
--- a/crates/spread/src/repair.rs
+++ b/crates/spread/src/repair.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use member::Record;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use slog::{debug, warn};
@@ -35,13 +36,10 @@
 
 /// Returns the address of a random known daemon, or of a seed.
 fn peer(hub: &Hub) -> Option<String> {
-    let members = hub.table.members().all();
-    let others = members
-        .iter()
-        .filter(|record| record.vm != hub.settings.vm && !record.expired)
-        .map(|record| record.fleet);
+    let others = hub.table.members().addresses(Record::is_alive);
     let seeds = hub.settings.seeds.iter().copied();
     let all: Vec<_> = others
+        .into_iter()
         .chain(seeds)
         .filter(|address| *address != hub.address)
         .collect();
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -174,7 +174,7 @@
     /// Merges membership records that came over `link`, and returns those that were news.
     pub fn merge(&self, records: Vec<Record>, link: LinkId) -> Vec<Record> {
         let _inner = self.lock();
-        let old = self.members.all();
+        let old = self.members.known(&records);
         let news = self.members.merge(records, link);
         self.refresh(&old, &news);
         news
@@ -256,9 +256,9 @@
         if services.is_empty() {
             return;
         }
-        let records = self.members.all();
         let mut snapshot = (*self.current.load_full()).clone();
         for service in &services {
+            let records = self.members.of_service(service);
             snapshot = refresh(&snapshot, service, &records);
         }
         self.current.store(Arc::new(snapshot));
