--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -1,81 +1,117 @@
-//! Admission of calls by the upstream's slots.
+//! Admission of calls to the upstream beside this daemon.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use model::Priority;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
-/// Calls that may wait for a slot, for each slot.
-const QUEUE_PER_SLOT: usize = 2;
+use crate::limit::Sample;
+use crate::queue::{Entry, Queue, Rank, Shed};
 
-/// Why a call was not admitted.
-#[derive(Debug, PartialEq)]
-pub(crate) enum Shed {
-    /// The queue is full.
-    Full,
-    /// The deadline passed in the queue.
-    Deadline,
-}
+/// What a waiting call is told.
+type Verdict = Result<Slot, Shed>;
+
+/// Admission of calls to one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Admission(Arc<Mutex<Queue<oneshot::Sender<Verdict>>>>);
 
-/// Slots of the upstream beside this daemon.
+/// The right to run one call; given back when dropped.
 #[derive(Debug)]
-pub(crate) struct Admission {
-    slots: Mutex<Slots>,
+pub(crate) struct Slot {
+    admission: Admission,
 }
 
-/// The slots and how many there are.
-#[derive(Debug)]
-struct Slots {
-    free: Arc<Semaphore>,
-    waiting: Arc<Semaphore>,
-    count: u32,
+/// A place in the queue; given up when dropped.
+struct Place<'a> {
+    admission: &'a Admission,
+    rank: Rank,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.admission.lock().cancel(self.rank);
+    }
 }
 
-impl Slots {
-    fn new(count: u32) -> Self {
-        Self {
-            free: Arc::new(Semaphore::new(count as usize)),
-            waiting: Arc::new(Semaphore::new(count as usize * QUEUE_PER_SLOT)),
-            count,
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let next = self.admission.lock().leave(Instant::now());
+        for waiter in next.late {
+            let _ = waiter.send(Err(Shed::Deadline));
+        }
+        for waiter in next.run {
+            // A waiter that is gone gives the slot back by dropping it.
+            let _ = waiter.send(Ok(self.admission.slot()));
         }
     }
 }
 
+impl Slot {
+    /// Notes that the upstream answered after `latency`, and whether it refused for its load.
+    pub(crate) fn observe(&self, latency: Duration, refused: bool) {
+        let mut queue = self.admission.lock();
+        let running = queue.running();
+        let sample = Sample {
+            latency,
+            refused,
+            running,
+        };
+        queue.observe(sample, Instant::now());
+    }
+}
+
 impl Admission {
     /// Returns an admission without any slot.
     pub(crate) fn new() -> Self {
-        Self {
-            slots: Mutex::new(Slots::new(0)),
-        }
+        Self(Arc::new(Mutex::new(Queue::new(0))))
     }
 
-    /// Sets the number of slots. Calls in flight keep the slots they have.
-    pub(crate) fn resize(&self, count: u32) {
-        let mut slots = self.lock();
-        if slots.count != count {
-            *slots = Slots::new(count);
-        }
+    /// Sets the number of slots that the upstream claims. Calls in flight still count.
+    pub(crate) fn resize(&self, slots: u32) {
+        self.lock().resize(slots);
     }
 
-    /// Waits for a slot until `deadline`, if the queue has room.
-    pub(crate) async fn enter(&self, deadline: Instant) -> Result<OwnedSemaphorePermit, Shed> {
-        let (free, waiting) = {
-            let slots = self.lock();
-            (Arc::clone(&slots.free), Arc::clone(&slots.waiting))
-        };
-        if let Ok(slot) = Arc::clone(&free).try_acquire_owned() {
-            return Ok(slot);
-        }
-        let Ok(_place) = waiting.try_acquire_owned() else {
-            return Err(Shed::Full);
+    /// Returns the calls that run and wait, in percent of those that may run.
+    pub(crate) fn load(&self) -> u32 {
+        self.lock().load()
+    }
+
+    /// Waits for a slot until `deadline`, if there is hope for one.
+    pub(crate) async fn enter(&self, priority: Priority, deadline: Instant) -> Verdict {
+        let (waiter, verdict) = oneshot::channel();
+        let entry = self
+            .lock()
+            .enter(priority, deadline, waiter, Instant::now());
+        let place = match entry {
+            Entry::Run => return Ok(self.slot()),
+            Entry::Shed(shed) => return Err(shed),
+            Entry::Wait { rank, shed } => {
+                if let Some(shed) = shed {
+                    let _ = shed.send(Err(Shed::Full));
+                }
+                Place {
+                    admission: self,
+                    rank,
+                }
+            }
         };
-        match timeout_at(deadline, free.acquire_owned()).await {
-            Ok(Ok(slot)) => Ok(slot),
+        let verdict = timeout_at(deadline, verdict).await;
+        drop(place);
+        match verdict {
+            Ok(Ok(verdict)) => verdict,
             Ok(Err(_)) | Err(_) => Err(Shed::Deadline),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Slots> {
-        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    fn slot(&self) -> Slot {
+        Slot {
+            admission: self.clone(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue<oneshot::Sender<Verdict>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/crates/call/src/bounds.rs
@@ -0,0 +1,142 @@
+//! Bounds on bodies that stream through: size and time.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+use model::Size;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use crate::body::{Body, BoxError};
+
+/// Why a body was cut. The receiver sees a broken answer or request, never a whole one.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The deadline passed.
+    #[error("the call's deadline passed before the body's end; raise the route's timeout")]
+    Deadline,
+    /// The body is over its limit.
+    #[error("the body is over the route's limit of {0}; raise the limit or send less")]
+    TooLarge(Size),
+}
+
+/// A body that fails once its deadline passes.
+struct Timed {
+    body: Body,
+    deadline: Instant,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Returns `body`, which fails at `deadline` unless it has ended.
+pub(crate) fn timed(body: Body, deadline: Instant) -> Body {
+    if body.is_end_stream() {
+        return body;
+    }
+    let timer = None;
+    Timed {
+        body,
+        deadline,
+        timer,
+    }
+    .boxed_unsync()
+}
+
+impl http_body::Body for Timed {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
+            return Poll::Ready(frame);
+        }
+        let deadline = self.deadline;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        match timer.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Some(Err(BodyError::Deadline.into()))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Tells whether a body went over its limit.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Overrun(Arc<AtomicBool>);
+
+impl Overrun {
+    /// Returns whether the body went over its limit.
+    pub(crate) fn happened(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A body that fails once it is over its limit.
+struct Limited {
+    body: Body,
+    limit: Size,
+    left: u64,
+    overrun: Overrun,
+}
+
+/// Returns `body`, which fails once it is over `limit`.
+pub(crate) fn limited(body: Body, limit: Size, overrun: Overrun) -> Body {
+    let left = limit.get();
+    Limited {
+        body,
+        limit,
+        left,
+        overrun,
+    }
+    .boxed_unsync()
+}
+
+impl http_body::Body for Limited {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let Poll::Ready(Some(Ok(frame))) = &polled else {
+            return polled;
+        };
+        let size = frame.data_ref().map_or(0, |data| data.len() as u64);
+        match self.left.checked_sub(size) {
+            Some(left) => {
+                self.left = left;
+                polled
+            }
+            None => {
+                self.overrun.0.store(true, Ordering::Relaxed);
+                let error = BodyError::TooLarge(self.limit);
+                Poll::Ready(Some(Err(error.into())))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/call/src/choose.rs
+++ b/crates/call/src/choose.rs
@@ -1,14 +1,44 @@
 //! Choice of a pool and of an upstream in it.
 
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
-
-use model::{DomainName, VmId};
 use rand::{Rng, RngExt};
-use table::{PoolIndex, RouteTable, Upstream};
+use table::{PoolIndex, RouteTable};
+
+use crate::health::Standing;
+
+/// Load from which calls go farther away, 1 for full.
+const SPILL_LOAD: f64 = 0.8;
+
+/// Draws of a random candidate at most; cold ones are drawn again in part.
+const MAX_DRAWS: usize = 8;
+
+/// How near an upstream is, the nearest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Nearness {
+    /// In the same failure domain.
+    Domain,
+    /// In the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// An upstream as the choice sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// How near it is.
+    pub nearness: Nearness,
+    /// Calls on it, 1 for full.
+    pub load: f64,
+    /// Share of its size that it gets, 1 but for a cold start.
+    pub weight: f64,
+    /// Whether it takes calls.
+    pub standing: Standing,
+    /// Whether this call tried it already.
+    pub tried: bool,
+}
 
 /// Returns one of the route's pools, by weight.
-pub(crate) fn pool(route: &RouteTable, rng: &mut impl Rng) -> PoolIndex {
+pub fn pool(route: &RouteTable, rng: &mut impl Rng) -> PoolIndex {
     let total: u64 = route
         .targets
         .iter()
@@ -25,37 +55,65 @@
     route.targets[0].0
 }
 
-/// Returns the better of two random upstreams of `domain`, or of others where it has none free.
+/// Returns the position of the candidate that takes the call.
 ///
-/// Upstreams in `tried` are left out.
-pub(crate) fn upstream(
-    upstreams: &[Arc<Upstream>],
-    domain: &DomainName,
-    tried: &[VmId],
-    rng: &mut impl Rng,
-) -> Option<Arc<Upstream>> {
-    let open = |upstream: &&Arc<Upstream>| !tried.contains(&upstream.vm);
-    let near = |upstream: &&Arc<Upstream>| upstream.domain == *domain && load(upstream) < 1.0;
-    let local: Vec<_> = upstreams.iter().filter(open).filter(near).collect();
-    let all: Vec<_> = match local.is_empty() {
-        true => upstreams.iter().filter(open).collect(),
-        false => local,
-    };
-    if all.is_empty() {
-        return None;
+/// The better of two random ones of the failure domain, then of the region, then of all; the
+/// next farther ones where the better one is loaded. One that is due for a trial goes first, one
+/// that is set aside only where there is no other. `None` if all were tried.
+pub fn upstream(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+    let untried = || (0..candidates.len()).filter(|i| !candidates[*i].tried);
+    let first_try = untried().count() == candidates.len();
+    let mut trial = untried().filter(|i| candidates[*i].standing == Standing::Trial);
+    if first_try && let Some(trial) = trial.next() {
+        return Some(trial);
+    }
+    let mut open: Vec<usize> = untried()
+        .filter(|i| candidates[*i].standing == Standing::Open)
+        .collect();
+    if open.is_empty() {
+        open = untried().collect();
+    }
+    let mut best: Option<usize> = None;
+    for farthest in [Nearness::Domain, Nearness::Region, Nearness::Far] {
+        let near: Vec<usize> = open
+            .iter()
+            .copied()
+            .filter(|i| candidates[*i].nearness <= farthest)
+            .collect();
+        let Some(found) = better_of_two(candidates, &near, rng) else {
+            continue;
+        };
+        if candidates[found].load < SPILL_LOAD {
+            return Some(found);
+        }
+        best = match best {
+            Some(best) if candidates[best].load <= candidates[found].load => Some(best),
+            _ => Some(found),
+        };
+    }
+    best
+}
+
+/// Returns the less loaded of two random positions of `among`.
+fn better_of_two(candidates: &[Candidate], among: &[usize], rng: &mut impl Rng) -> Option<usize> {
+    let first = draw(candidates, among, rng)?;
+    let second = draw(candidates, among, rng)?;
+    match candidates[second].load < candidates[first].load {
+        true => Some(second),
+        false => Some(first),
     }
-    let first = all[rng.random_range(0..all.len())];
-    let second = all[rng.random_range(0..all.len())];
-    let better = if load(second) < load(first) {
-        second
-    } else {
-        first
-    };
-    Some(Arc::clone(better))
 }
 
-/// Returns the share of the upstream's slots that calls of this daemon use.
-fn load(upstream: &Upstream) -> f64 {
-    let in_flight = upstream.observed.in_flight.load(Ordering::Relaxed);
-    f64::from(in_flight) / f64::from(upstream.slots.max(1))
+/// Returns a random position of `among`, each as probable as its weight.
+fn draw(candidates: &[Candidate], among: &[usize], rng: &mut impl Rng) -> Option<usize> {
+    if among.is_empty() {
+        return None;
+    }
+    for _ in 0..MAX_DRAWS {
+        let drawn = among[rng.random_range(0..among.len())];
+        if rng.random::<f64>() < candidates[drawn].weight {
+            return Some(drawn);
+        }
+    }
+    Some(among[rng.random_range(0..among.len())])
 }
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,26 +1,27 @@
 //! The gate beside an upstream: admits calls and passes them to it.
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, Request, Response};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use model::Secret;
 use prometheus::IntGauge;
 use slog::Logger;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::{Instant, timeout_at};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 
-use crate::admission::{Admission, Shed};
+use crate::admission::{Admission, Slot};
 use crate::backend::{Announcement, Backend, Readiness};
 use crate::body::{Body, Holding, boxed};
-use crate::header::{DEADLINE, FLEET_KEY, SERVICE};
+use crate::bounds::timed;
+use crate::connections::{Connections, InUse};
+use crate::header::{DEADLINE, FLEET_KEY, KEY, LOAD, SERVICE, number, remove_hop, remove_own};
+use crate::keys::{Claim, Entry, Fate, Keys};
+use crate::queue::Shed;
+use crate::request::priority;
 use crate::serve::{Server, ServerError};
-use crate::{Metrics, Refusal, RefusalKind};
+use crate::{Metrics, Outcome, Refusal, RefusalKind};
 
 /// Time that a call may take where the ingress states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -30,26 +31,25 @@
 pub struct Gate {
     backend: Arc<Backend>,
     admission: Admission,
+    keys: Keys,
+    connections: Arc<Connections>,
     key: Secret,
     metrics: Metrics,
-    /// Connections to the upstream that no call uses.
-    idle: Mutex<Vec<Idle>>,
 }
 
-/// A connection to the upstream that no call uses.
-#[derive(Debug)]
-struct Idle {
-    address: SocketAddr,
-    sender: SendRequest<Body>,
+/// What a call holds at the gate until its answer's end. The connection goes back first.
+struct Held {
+    _in_use: InUse,
+    _running: Running,
 }
 
-/// What a call holds at the gate until its answer's end.
-struct Held {
-    _slot: OwnedSemaphorePermit,
+/// A call that the upstream runs.
+struct Running {
+    slot: Slot,
     in_flight: IntGauge,
 }
 
-impl Drop for Held {
+impl Drop for Running {
     fn drop(&mut self) {
         self.in_flight.dec();
     }
@@ -61,9 +61,10 @@
         Arc::new(Self {
             backend,
             admission: Admission::new(),
+            keys: Keys::default(),
+            connections: Arc::default(),
             key,
             metrics,
-            idle: Mutex::default(),
         })
     }
 
@@ -81,54 +82,52 @@
         Server::spawn(listener, log, move |request| {
             let gate = Arc::clone(&gate);
             async move {
-                match gate.answer(request.map(boxed)).await {
-                    Ok(response) => response,
-                    Err(refusal) => {
-                        gate.metrics.refused(&refusal);
-                        refusal.response()
-                    }
-                }
+                let answered = gate.answer(request.map(boxed)).await;
+                let mut response = answered.unwrap_or_else(|refusal| {
+                    gate.metrics.refused(&refusal);
+                    refusal.response()
+                });
+                let load = HeaderValue::from(gate.admission.load());
+                response.headers_mut().insert(LOAD, load);
+                response
             }
         })
     }
 
     /// Admits a call and passes it to the upstream.
-    async fn answer(self: &Arc<Self>, request: Request<Body>) -> Result<Response<Body>, Refusal> {
+    async fn answer(&self, request: Request<Body>) -> Result<Response<Body>, Refusal> {
         self.check_key(request.headers())?;
         let deadline = deadline(request.headers());
-        let announced = self.check_backend(request.headers())?;
-        self.admission.resize(announced.slots);
-        let slot = self.admission.enter(deadline).await.map_err(shed)?;
-        self.metrics.in_flight.inc();
-        let held = Held {
-            _slot: slot,
-            in_flight: self.metrics.in_flight.clone(),
-        };
-        // The upstream may have begun to drain while the call waited.
-        let announced = self.check_backend(request.headers())?;
-        let mut sender = self.connect(announced.address, deadline).await?;
-        let request = for_upstream(request, announced.address);
-        let response = match timeout_at(deadline, sender.send_request(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
-                let message =
-                    format!("the upstream broke the connection ({error}); it may have run");
-                return Err(Refusal::unknown(RefusalKind::Broken, message));
-            }
-            Err(_) => {
-                let message = "the upstream did not answer before the deadline; it may have run";
-                return Err(Refusal::unknown(RefusalKind::Deadline, message));
+        self.check_backend(request.headers())?;
+        let mut claim = self.claim(request.headers())?;
+        let (running, announced) = self.admit(request.headers(), deadline).await?;
+        let request = for_upstream(request, &announced, deadline);
+        note(&mut claim, Some(Fate::Unknown));
+        let started = Instant::now();
+        let kept = announced.connections.min(announced.slots) as usize;
+        let sent = self
+            .connections
+            .send(announced.address, kept, request, deadline)
+            .await;
+        let (mut response, in_use) = match sent {
+            Ok(sent) => sent,
+            Err(refusal) => {
+                if refusal.outcome == Outcome::NotRun {
+                    note(&mut claim, None);
+                }
+                return Err(refusal);
             }
         };
-        let returned = Returned {
-            gate: Arc::clone(self),
-            idle: Some(Idle {
-                address: announced.address,
-                sender,
-            }),
-            _held: held,
+        note(&mut claim, Some(Fate::Ran));
+        let refused = refuses(response.status());
+        running.slot.observe(started.elapsed(), refused);
+        remove_hop(response.headers_mut());
+        remove_own(response.headers_mut());
+        let held = Held {
+            _in_use: in_use,
+            _running: running,
         };
-        Ok(response.map(|body| Holding::wrap(boxed(body), returned)))
+        Ok(response.map(|body| Holding::wrap(timed(boxed(body), deadline), held)))
     }
 
     fn check_key(&self, headers: &HeaderMap) -> Result<(), Refusal> {
@@ -158,74 +157,62 @@
         })
     }
 
-    async fn connect(
+    /// Takes the key of a call that may run only once, or answers the duplicate.
+    fn claim(&self, headers: &HeaderMap) -> Result<Option<Claim>, Refusal> {
+        let Some(key) = headers.get(KEY) else {
+            return Ok(None);
+        };
+        self.keys.begin(key.as_bytes()).map(Some).map_err(duplicate)
+    }
+
+    /// Waits for a slot while the upstream takes calls.
+    async fn admit(
         &self,
-        address: SocketAddr,
+        headers: &HeaderMap,
         deadline: Instant,
-    ) -> Result<SendRequest<Body>, Refusal> {
-        while let Some(idle) = self.take_idle(address) {
-            if idle.sender.is_ready() {
-                return Ok(idle.sender);
+    ) -> Result<(Running, Announcement), Refusal> {
+        let mut announced = self.check_backend(headers)?;
+        self.admission
+            .resize(announced.slots.min(announced.connections));
+        let entered = self.admission.enter(priority(headers), deadline);
+        let mut entered = std::pin::pin!(entered);
+        let slot = loop {
+            tokio::select! {
+                biased;
+                slot = &mut entered => break slot.map_err(shed)?,
+                // An upstream that begins to drain takes none of those that wait.
+                () = self.backend.changed(Some(&announced)) => {
+                    announced = self.check_backend(headers)?;
+                }
             }
-        }
-        let unreachable = |error: String| {
-            let message = format!("the upstream cannot be connected to ({error}); try again");
-            Refusal::not_run(RefusalKind::Unreachable, message)
         };
-        let stream = timeout_at(deadline, TcpStream::connect(address))
-            .await
-            .map_err(|_| unreachable("no answer in time".into()))?
-            .map_err(|error| unreachable(error.to_string()))?;
-        let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| unreachable(error.to_string()))?;
-        tokio::spawn(async move {
-            // The call on the connection sees its end itself.
-            let _ = connection.await;
-        });
-        sender
-            .ready()
-            .await
-            .map_err(|error| unreachable(error.to_string()))?;
-        Ok(sender)
-    }
-
-    /// Takes a kept connection to `address`; drops those to another.
-    fn take_idle(&self, address: SocketAddr) -> Option<Idle> {
-        let mut idle = self.lock();
-        idle.retain(|idle| idle.address == address);
-        idle.pop()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        self.metrics.in_flight.inc();
+        let running = Running {
+            slot,
+            in_flight: self.metrics.in_flight.clone(),
+        };
+        let announced = self.check_backend(headers)?;
+        Ok((running, announced))
     }
 }
 
-/// Gives the connection back at the end of an answer.
-struct Returned {
-    gate: Arc<Gate>,
-    idle: Option<Idle>,
-    _held: Held,
+/// Notes what is known of a call that may run only once.
+fn note(claim: &mut Option<Claim>, fate: Option<Fate>) {
+    if let Some(claim) = claim {
+        claim.note(fate);
+    }
 }
 
-impl Drop for Returned {
-    fn drop(&mut self) {
-        // A connection whose answer was not read to its end is not ready, and is closed when it is
-        // next looked at.
-        if let Some(idle) = self.idle.take() {
-            self.gate.lock().push(idle);
-        }
-    }
+/// Returns whether an upstream's answer says that it has too much to do.
+fn refuses(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 fn deadline(headers: &HeaderMap) -> Instant {
-    let left = headers
-        .get(DEADLINE)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse().ok())
-        .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
+    let left = number(headers, &DEADLINE).map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     Instant::now() + left
 }
 
@@ -236,34 +223,57 @@
             "the upstream's slots and queue are full; try again later",
         ),
         Shed::Deadline => Refusal::not_run(
-            RefusalKind::Deadline,
-            "the deadline passed before the upstream had a slot free",
+            RefusalKind::Overloaded,
+            "the upstream has no slot free before the deadline; try again later",
         ),
     }
 }
 
-/// Returns the request as the upstream gets it: HTTP/1.1, without the fleet's key.
-fn for_upstream(request: Request<Body>, address: SocketAddr) -> Request<Body> {
+fn duplicate(known: Entry) -> Refusal {
+    match known {
+        Entry::Known(Fate::Ran) => Refusal::ran(
+            RefusalKind::Duplicate,
+            "a call with this key ran before; it is not run again",
+        ),
+        Entry::Known(Fate::Running) => Refusal::unknown(
+            RefusalKind::Duplicate,
+            "a call with this key is under way; ask for its result later",
+        ),
+        Entry::Known(Fate::Unknown) => Refusal::unknown(
+            RefusalKind::Duplicate,
+            "a call with this key was sent before and may have run; it is not run again",
+        ),
+        Entry::New | Entry::Full => Refusal::not_run(
+            RefusalKind::Overloaded,
+            "too many calls with keys are under way here; try again later",
+        ),
+    }
+}
+
+/// Returns the request as the upstream gets it: HTTP/1.1, with the time left, without the system's
+/// other headers except service and key.
+fn for_upstream(
+    request: Request<Body>,
+    announced: &Announcement,
+    deadline: Instant,
+) -> Request<Body> {
     let (mut parts, body) = request.into_parts();
     parts.version = http::Version::HTTP_11;
-    parts.headers.remove(FLEET_KEY);
-    if let Some(authority) = parts.uri.authority() {
-        let host = http::HeaderValue::from_str(authority.as_str());
-        parts.headers.insert(
-            http::header::HOST,
-            host.unwrap_or_else(|_| http::HeaderValue::from_static("upstream")),
-        );
-    } else if !parts.headers.contains_key(http::header::HOST) {
-        let host = http::HeaderValue::from_str(&address.to_string());
-        parts.headers.insert(
-            http::header::HOST,
-            host.unwrap_or_else(|_| http::HeaderValue::from_static("upstream")),
-        );
+    let kept = [SERVICE, KEY].map(|name| parts.headers.remove(&name).map(|value| (name, value)));
+    remove_own(&mut parts.headers);
+    parts.headers.extend(kept.into_iter().flatten());
+    let left = deadline.saturating_duration_since(Instant::now());
+    parts
+        .headers
+        .insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+    let host = match parts.uri.authority() {
+        Some(authority) => HeaderValue::from_str(authority.as_str()),
+        None => HeaderValue::from_str(&announced.address.to_string()),
+    };
+    if let Ok(host) = host {
+        parts.headers.insert(HOST, host);
     }
     let path = parts.uri.path_and_query().cloned();
-    parts.uri = path.map_or_else(|| http::Uri::from_static("/"), http::Uri::from);
+    parts.uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
     Request::from_parts(parts, body)
 }
-
-/// The upstream's answer is an [`Incoming`] body.
-const _: fn(Incoming) -> Body = boxed::<Incoming>;
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -1,6 +1,7 @@
-//! Headers of the system's own.
+//! Headers of the system's own, and those that do not travel on.
 
-use http::HeaderName;
+use http::header::{CONNECTION, EXPECT, TE, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Id that follows a call through its daemons.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -11,11 +12,80 @@
 /// What became of a call that the system itself answers: `not-run`, `ran` or `unknown`.
 pub const OUTCOME: HeaderName = HeaderName::from_static("sardinestall-outcome");
 
+/// Why the system itself answers a call.
+pub const KIND: HeaderName = HeaderName::from_static("sardinestall-kind");
+
 /// Service that the ingress wants to reach.
 pub const SERVICE: HeaderName = HeaderName::from_static("sardinestall-service");
 
 /// Key under which a call that may run only once is remembered.
 pub const KEY: HeaderName = HeaderName::from_static("sardinestall-key");
 
+/// Key that a caller gives to a call that may run only once.
+pub const CALLER_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Priority of the call's route.
+pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("sardinestall-priority");
+
+/// Calls that the upstream runs and that wait for it, in percent of its limit.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("sardinestall-load");
+
 /// Key that the daemons of one fleet share.
 pub(crate) const FLEET_KEY: HeaderName = HeaderName::from_static("sardinestall-fleet-key");
+
+/// Prefix of the system's own headers.
+const OWN_PREFIX: &str = "sardinestall-";
+
+/// Headers that belong to one connection and do not travel on.
+static HOP_HEADERS: [HeaderName; 7] = [
+    CONNECTION,
+    EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers that belong to one connection; keeps the wish for trailers.
+pub(crate) fn remove_hop(headers: &mut HeaderMap) {
+    let trailers = headers.get_all(TE).iter().any(names_trailers);
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+    if trailers {
+        headers.insert(TE, HeaderValue::from_static("trailers"));
+    }
+}
+
+fn names_trailers(value: &HeaderValue) -> bool {
+    let Ok(text) = value.to_str() else {
+        return false;
+    };
+    text.split(',')
+        .any(|item| item.trim().eq_ignore_ascii_case("trailers"))
+}
+
+/// Removes the system's own headers, which no caller and no upstream may set.
+pub(crate) fn remove_own(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Reads a header that holds a number.
+pub(crate) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -1,22 +1,35 @@
 //! The call path: the ingress takes the calls of local callers and picks an upstream, the gate
 //! beside that upstream admits them and calls it.
+//!
+//! Lock order: no two locks of this crate are held at once.
 
 mod admission;
 mod backend;
 mod body;
-mod choose;
+mod bounds;
+pub mod budget;
+pub mod choose;
+mod connections;
 mod gate;
 mod header;
+pub mod health;
 mod ingress;
+pub mod keys;
+pub mod limit;
 mod links;
 mod metrics;
 mod outcome;
-mod retry;
+mod payload;
+pub mod queue;
+mod request;
+pub mod retry;
 mod serve;
+mod tries;
+mod watch;
 
 pub use backend::{Announcement, Backend, Readiness};
 pub use gate::Gate;
-pub use header::{DEADLINE, KEY, OUTCOME, REQUEST_ID, SERVICE};
+pub use header::{CALLER_KEY, DEADLINE, KEY, KIND, OUTCOME, REQUEST_ID, SERVICE};
 pub use ingress::Ingress;
 pub use metrics::Metrics;
 pub use outcome::{Outcome, Refusal, RefusalKind};
--- a/crates/call/src/links.rs
+++ b/crates/call/src/links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -10,7 +10,7 @@
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::body::Body;
 use crate::{Refusal, RefusalKind};
@@ -21,12 +21,25 @@
 /// Time between two pings on a quiet connection with calls in flight.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Gates connected to at most; the one used longest ago is let go first.
+const MAX_LINKS: usize = 512;
+
 /// Connections to the gates of other daemons.
 #[derive(Debug, Default)]
 pub(crate) struct Links {
-    open: Mutex<HashMap<SocketAddr, SendRequest<Body>>>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+}
+
+/// The place of one gate's connection.
+#[derive(Debug)]
+struct Link {
+    place: Arc<Place>,
+    used: Instant,
 }
 
+/// A gate's connection; whoever opens it holds the lock, so that it is opened once.
+type Place = tokio::sync::Mutex<Option<SendRequest<Body>>>;
+
 impl Links {
     /// Sends `request` to the gate at `address`.
     ///
@@ -36,67 +49,80 @@
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<Incoming>, Refusal> {
-        let mut sender = match self.get(address) {
-            Some(sender) => sender,
-            None => self.connect(address).await?,
-        };
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                Err(classify(&error.into_error(), unsent))
+        loop {
+            let (mut sender, fresh) = self.get(address).await?;
+            let mut error = match sender.try_send_request(request).await {
+                Ok(response) => return Ok(response),
+                Err(error) => error,
+            };
+            // The library gives back only what it did not begin to send.
+            match error.take_message() {
+                Some(unsent) if !fresh => request = unsent,
+                Some(_) => return Err(unreachable(address, error.into_error())),
+                None => return Err(broken(&error.into_error())),
             }
         }
     }
 
-    fn get(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
-        let mut open = self.lock();
-        let sender = open.get(&address)?;
-        if sender.is_closed() {
-            open.remove(&address);
-            return None;
+    /// Returns the connection to `address` and whether it was opened just now.
+    async fn get(&self, address: SocketAddr) -> Result<(SendRequest<Body>, bool), Refusal> {
+        let place = self.place(address);
+        let mut open = place.lock().await;
+        if let Some(sender) = open.as_ref().filter(|sender| !sender.is_closed()) {
+            return Ok((sender.clone(), false));
         }
-        Some(sender.clone())
+        let sender = connect(address).await?;
+        *open = Some(sender.clone());
+        Ok((sender, true))
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, Refusal> {
-        let unreachable = |error: String| {
-            let message = format!("the gate at {address} cannot be reached ({error}); try again");
-            Refusal::not_run(RefusalKind::Unreachable, message)
-        };
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| unreachable("no answer in time".into()))?
-            .map_err(|error| unreachable(error.to_string()))?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
-            .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_INTERVAL)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| unreachable(error.to_string()))?;
-        tokio::spawn(async move {
-            // The calls on the connection see its end themselves.
-            let _ = connection.await;
+    fn place(&self, address: SocketAddr) -> Arc<Place> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        if links.len() >= MAX_LINKS && !links.contains_key(&address) {
+            let oldest = links.iter().min_by_key(|(_, link)| link.used);
+            if let Some(oldest) = oldest.map(|(address, _)| *address) {
+                // Its calls in flight go on; the connection closes after them.
+                links.remove(&oldest);
+            }
+        }
+        let link = links.entry(address).or_insert_with(|| Link {
+            place: Arc::default(),
+            used: now,
         });
-        self.lock().insert(address, sender.clone());
-        Ok(sender)
+        link.used = now;
+        Arc::clone(&link.place)
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, SendRequest<Body>>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, Refusal> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| unreachable(address, "no answer in time"))?
+        .map_err(|error| unreachable(address, error))?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_INTERVAL)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| unreachable(address, error))?;
+    tokio::spawn(async move {
+        // The calls on the connection see its end themselves.
+        let _ = connection.await;
+    });
+    Ok(sender)
 }
 
-/// Classifies a failed send.
-fn classify(error: &hyper::Error, unsent: bool) -> Refusal {
-    if unsent {
-        let message = "the connection to the gate closed before the call was sent; try again";
-        return Refusal::not_run(RefusalKind::Unreachable, message);
-    }
+fn unreachable(address: SocketAddr, error: impl std::fmt::Display) -> Refusal {
+    let message = format!("the gate at {address} cannot be reached ({error}); try again");
+    Refusal::not_run(RefusalKind::Unreachable, message)
+}
+
+fn broken(error: &hyper::Error) -> Refusal {
     let message = format!("the connection to the gate broke ({error}); the call may have run");
     Refusal::unknown(RefusalKind::Broken, message)
 }
--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) calls: IntCounterVec,
     /// Refusals by kind.
     pub(crate) refusals: IntCounterVec,
+    /// Tries after the first one, by service.
+    pub(crate) retries: IntCounterVec,
     /// Duration of calls until their answer's head, in seconds.
     pub(crate) duration: HistogramVec,
     /// Calls in flight at the gate.
@@ -41,6 +43,10 @@
         let metrics = Self {
             calls: IntCounterVec::new(calls, &["code"])?,
             refusals: IntCounterVec::new(refusals, &["kind", "outcome"])?,
+            retries: IntCounterVec::new(
+                Opts::new("sardinestall_retries_total", "Tries after the first one."),
+                &["service"],
+            )?,
             duration: HistogramVec::new(duration, &["side"])?,
             in_flight: IntGauge::new(
                 "sardinestall_gate_calls_in_flight",
@@ -49,6 +55,7 @@
         };
         registry.register(Box::new(metrics.calls.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
+        registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         Ok(metrics)
@@ -56,8 +63,7 @@
 
     /// Counts an answer of the system's own.
     pub(crate) fn refused(&self, refusal: &crate::Refusal) {
-        let kind = format!("{:?}", refusal.kind);
-        let labels = [kind.as_str(), refusal.outcome.as_str()];
+        let labels = [refusal.kind.as_str(), refusal.outcome.as_str()];
         self.refusals.with_label_values(&labels).inc();
     }
 }
--- a/crates/call/src/outcome.rs
+++ b/crates/call/src/outcome.rs
@@ -8,7 +8,10 @@
 use serde::Serialize;
 
 use crate::body::{Body, full};
-use crate::header::OUTCOME;
+use crate::header::{KIND, OUTCOME};
+
+/// Time after which a refused call is worth another try, in seconds.
+const RETRY_SECONDS: u32 = 1;
 
 /// What became of a call that the system itself answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -50,8 +53,7 @@
 }
 
 /// Why the system itself answers a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalKind {
     /// No route takes the call.
     NoRoute,
@@ -75,6 +77,55 @@
     BadRequest,
     /// The process that calls the gate is not of this fleet.
     Forbidden,
+    /// A call with the same key came before.
+    Duplicate,
+    /// The call asks for what the system does not do.
+    Unsupported,
+}
+
+impl RefusalKind {
+    /// Every kind.
+    const ALL: &[Self] = &[
+        Self::NoRoute,
+        Self::NotReady,
+        Self::NoUpstream,
+        Self::Leaving,
+        Self::Overloaded,
+        Self::Deadline,
+        Self::Unreachable,
+        Self::Broken,
+        Self::TooLarge,
+        Self::BadRequest,
+        Self::Forbidden,
+        Self::Duplicate,
+        Self::Unsupported,
+    ];
+
+    /// Returns the kind's name.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no_route",
+            Self::NotReady => "not_ready",
+            Self::NoUpstream => "no_upstream",
+            Self::Leaving => "leaving",
+            Self::Overloaded => "overloaded",
+            Self::Deadline => "deadline",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::TooLarge => "too_large",
+            Self::BadRequest => "bad_request",
+            Self::Forbidden => "forbidden",
+            Self::Duplicate => "duplicate",
+            Self::Unsupported => "unsupported",
+        }
+    }
+
+    /// Reads the kind that another daemon's answer carries.
+    pub fn of(response: &Response<impl Sized>) -> Option<Self> {
+        let name = response.headers().get(KIND)?.as_bytes();
+        let mut kinds = Self::ALL.iter();
+        kinds.find(|kind| kind.as_str().as_bytes() == name).copied()
+    }
 }
 
 /// An answer that the system itself gives.
@@ -92,7 +143,7 @@
 /// The refusal as the caller reads it.
 #[derive(Debug, Serialize)]
 struct Page<'a> {
-    kind: RefusalKind,
+    kind: &'static str,
     outcome: Outcome,
     message: &'a str,
 }
@@ -116,6 +167,15 @@
         }
     }
 
+    /// Describes a call that ran before under the same key.
+    pub fn ran(kind: RefusalKind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            outcome: Outcome::Ran,
+            message: message.into(),
+        }
+    }
+
     /// Returns the status to answer with.
     pub const fn status(&self) -> StatusCode {
         match self.kind {
@@ -129,17 +189,23 @@
             RefusalKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalKind::BadRequest => StatusCode::BAD_REQUEST,
             RefusalKind::Forbidden => StatusCode::FORBIDDEN,
+            RefusalKind::Duplicate => StatusCode::CONFLICT,
+            RefusalKind::Unsupported => StatusCode::NOT_IMPLEMENTED,
         }
     }
 
     /// Returns when a later try can work, in seconds, where it can.
     const fn retry_after(&self) -> Option<u32> {
-        match self.kind {
-            RefusalKind::NotReady
-            | RefusalKind::NoUpstream
-            | RefusalKind::Leaving
-            | RefusalKind::Overloaded
-            | RefusalKind::Unreachable => Some(1),
+        match (self.outcome, self.kind) {
+            (
+                Outcome::NotRun,
+                RefusalKind::NotReady
+                | RefusalKind::NoUpstream
+                | RefusalKind::Leaving
+                | RefusalKind::Overloaded
+                | RefusalKind::Deadline
+                | RefusalKind::Unreachable,
+            ) => Some(RETRY_SECONDS),
             _ => None,
         }
     }
@@ -147,7 +213,7 @@
     /// Returns the answer.
     pub(crate) fn response(&self) -> Response<Body> {
         let page = Page {
-            kind: self.kind,
+            kind: self.kind.as_str(),
             outcome: self.outcome,
             message: &self.message,
         };
@@ -156,6 +222,7 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
+        headers.insert(KIND, HeaderValue::from_static(self.kind.as_str()));
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(seconds) = self.retry_after() {
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -1,6 +1,10 @@
 //! HTTP servers that stop gracefully.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::Poll;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -9,16 +13,19 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use slog::{Logger, debug, warn};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Duration, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::body::{Body, Holding};
 
-/// Longest wait for the head of a request, in seconds.
+/// Longest wait for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time between two pings on a connection over HTTP/2, and the longest wait for their answer.
+const PING_INTERVAL: Duration = Duration::from_secs(20);
+
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -33,12 +40,38 @@
 #[error("cannot serve on the listener: {0}")]
 pub struct ServerError(#[from] std::io::Error);
 
+/// Number of calls in flight, each until the end of its answer.
+#[derive(Debug, Clone, Default)]
+struct Calls(Arc<AtomicUsize>);
+
+impl Calls {
+    fn enter(&self) -> OneCall {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        OneCall(self.clone())
+    }
+
+    fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One call in flight.
+struct OneCall(Calls);
+
+impl Drop for OneCall {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A running HTTP server.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
     stop: CancellationToken,
-    task: JoinHandle<usize>,
+    cut: CancellationToken,
+    calls: Calls,
+    task: JoinHandle<()>,
 }
 
 impl Server {
@@ -54,11 +87,19 @@
     {
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
-        let task = tokio::spawn(run(listener, stop.clone(), log, answer));
+        let connections = Connections {
+            graceful: GracefulShutdown::new(),
+            cut: CancellationToken::new(),
+            calls: Calls::default(),
+            answer,
+            log,
+        };
         Ok(Self {
             address,
-            stop,
-            task,
+            stop: stop.clone(),
+            cut: connections.cut.clone(),
+            calls: connections.calls.clone(),
+            task: tokio::spawn(run(listener, stop, connections)),
         })
     }
 
@@ -68,61 +109,97 @@
     }
 
     /// Takes no new connection, lets calls in flight finish for at most `limit`, and returns the
-    /// number of connections that were cut.
+    /// number of calls that were cut.
     pub async fn stop(self, limit: Duration) -> usize {
         self.stop.cancel();
-        let abort = self.task.abort_handle();
-        match timeout(limit, self.task).await {
-            Ok(Ok(cut)) => cut,
-            Ok(Err(_)) => 0,
-            Err(_) => {
-                abort.abort();
-                1
-            }
+        if timeout(limit, self.task).await.is_ok() {
+            return 0;
         }
+        let cut = self.calls.count();
+        self.cut.cancel();
+        cut
     }
 }
 
-async fn run<F, A>(listener: TcpListener, stop: CancellationToken, log: Logger, answer: F) -> usize
+/// What every connection of a server shares.
+struct Connections<F> {
+    graceful: GracefulShutdown,
+    cut: CancellationToken,
+    calls: Calls,
+    answer: F,
+    log: Logger,
+}
+
+async fn run<F, A>(listener: TcpListener, stop: CancellationToken, connections: Connections<F>)
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
-        let (stream, _) = match accepted {
-            Ok(accepted) => accepted,
+        match accepted {
+            Ok((stream, _)) => connections.serve(stream),
             Err(error) => {
-                warn!(log, "connection not accepted"; "error" => %error);
+                warn!(connections.log, "connection not accepted"; "error" => %error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
+        }
+    }
+    // Connections that the operating system took already are served, too.
+    while let Some(stream) = accept_pending(&listener).await {
+        connections.serve(stream);
+    }
+    drop(listener);
+    connections.graceful.shutdown().await;
+}
+
+/// Returns a connection that waits to be accepted, if there is one.
+async fn accept_pending(listener: &TcpListener) -> Option<TcpStream> {
+    let accepted = poll_fn(|cx| match listener.poll_accept(cx) {
+        Poll::Ready(accepted) => Poll::Ready(Some(accepted)),
+        Poll::Pending => Poll::Ready(None),
+    });
+    let (stream, _) = accepted.await?.ok()?;
+    Some(stream)
+}
+
+impl<F, A> Connections<F>
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Response<Body>> + Send + 'static,
+{
+    fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let answer = answer.clone();
+        let answer = self.answer.clone();
+        let calls = self.calls.clone();
         let service = service_fn(move |request| {
+            let call = calls.enter();
             let answered = answer(request);
-            async move { Ok::<_, std::convert::Infallible>(answered.await) }
+            async move {
+                let response = answered.await;
+                let counted = response.map(|body| Holding::wrap(body, call));
+                Ok::<_, std::convert::Infallible>(counted)
+            }
         });
-        let builder = builder();
-        let connection = builder
+        let connection = builder()
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
-        let connection = graceful.watch(connection);
-        let log = log.clone();
+        let connection = self.graceful.watch(connection);
+        let log = self.log.clone();
+        let cut = self.cut.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let ended = tokio::select! {
+                ended = connection => ended,
+                () = cut.cancelled() => return,
+            };
+            if let Err(error) = ended {
                 debug!(log, "connection ended"; "error" => %error);
             }
         });
     }
-    drop(listener);
-    graceful.shutdown().await;
-    0
 }
 
 fn builder() -> auto::Builder<TokioExecutor> {
@@ -135,6 +212,8 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_INTERVAL)
         .max_header_list_size(MAX_HEADER_LIST_BYTES);
     builder
 }
--- /dev/null
+++ b/crates/call/tests/policy.rs
@@ -0,0 +1,276 @@
+//! The decisions of the call path, on stated inputs.
+
+use std::time::Duration;
+
+use call::budget::Budget;
+use call::choose::{self, Candidate, Nearness};
+use call::health::{Health, Seen, Standing};
+use call::keys::{Entry as KeyEntry, Fate, KEY_WINDOW, KeyTable, MAX_KEYS};
+use call::limit::{Limit, Sample};
+use call::queue::{Entry, Queue, Shed};
+use model::Priority;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns a queue of `slots` whose calls take `latency`, all slots taken by calls 0.
+fn busy(slots: u32, latency: Duration, now: Instant) -> Queue<u32> {
+    let mut queue = Queue::new(slots);
+    for _ in 0..slots {
+        let entry = queue.enter(Priority::Normal, now + SECOND, 0, now);
+        assert_eq!(entry, Entry::Run);
+    }
+    let sample = Sample {
+        latency,
+        refused: false,
+        running: 1,
+    };
+    queue.observe(sample, now);
+    queue
+}
+
+#[test]
+fn queue_runs_the_highest_priority_then_the_earliest_deadline() {
+    let now = Instant::now();
+    let mut queue = busy(2, millis(10), now);
+    for (name, priority, left) in [
+        (1, Priority::Low, 300),
+        (2, Priority::Normal, 900),
+        (3, Priority::Normal, 500),
+        (4, Priority::High, 900),
+    ] {
+        let entry = queue.enter(priority, now + millis(left), name, now);
+        assert!(matches!(entry, Entry::Wait { shed: None, .. }));
+    }
+    let order: Vec<u32> = (0..4).flat_map(|_| queue.leave(now).run).collect();
+    assert_eq!(order, [4, 3, 2, 1]);
+}
+
+#[test]
+fn full_queue_sheds_the_lowest_priority() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(10), now);
+    queue.enter(Priority::Low, now + SECOND, 1, now);
+    queue.enter(Priority::Normal, now + SECOND, 2, now);
+    let high = queue.enter(Priority::High, now + SECOND, 3, now);
+    assert!(matches!(high, Entry::Wait { shed: Some(1), .. }));
+    let low = queue.enter(Priority::Low, now + SECOND, 4, now);
+    assert_eq!(low, Entry::Shed(Shed::Full));
+}
+
+#[test]
+fn call_that_cannot_meet_its_deadline_is_shed_at_once() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(100), now);
+    let late = queue.enter(Priority::High, now + millis(150), 1, now);
+    assert_eq!(late, Entry::Shed(Shed::Deadline));
+    let timely = queue.enter(Priority::High, now + millis(250), 2, now);
+    assert!(matches!(timely, Entry::Wait { .. }));
+    let next = queue.leave(now + millis(200));
+    assert_eq!((next.run, next.late), (vec![], vec![2]));
+}
+
+#[test]
+fn resized_queue_counts_the_calls_that_run() {
+    let now = Instant::now();
+    let mut queue = busy(4, millis(1), now);
+    queue.resize(2);
+    let entry = queue.enter(Priority::Normal, now + SECOND, 1, now);
+    assert!(matches!(entry, Entry::Wait { .. }));
+    assert!(queue.leave(now).run.is_empty());
+    assert!(queue.leave(now).run.is_empty());
+    assert_eq!(queue.running(), 2);
+    assert_eq!(queue.leave(now).run, [1]);
+}
+
+#[test]
+fn limit_follows_refusals_down_to_one_and_grows_back() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    let sample = |refused, running| Sample {
+        latency: millis(5),
+        refused,
+        running,
+    };
+    for _ in 0..50 {
+        now += millis(100);
+        limit.observe(sample(true, 12), now);
+    }
+    assert_eq!(limit.get(), 1);
+    for _ in 0..200 {
+        now += millis(100);
+        let running = limit.get();
+        limit.observe(sample(false, running), now);
+    }
+    assert_eq!(limit.get(), 12);
+}
+
+#[test]
+fn limit_does_not_grow_while_it_is_not_used() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    for (refused, running) in [(true, 12), (true, 12), (false, 1), (false, 1)] {
+        now += SECOND;
+        let latency = millis(5);
+        limit.observe(
+            Sample {
+                latency,
+                refused,
+                running,
+            },
+            now,
+        );
+    }
+    assert_eq!(limit.get(), 5);
+}
+
+#[test]
+fn budget_allows_a_share_of_first_tries() {
+    let mut budget = Budget::default();
+    while budget.spend() {}
+    for _ in 0..100 {
+        budget.earn(20);
+    }
+    let retries = (0..100).filter(|_| budget.spend()).count();
+    assert_eq!(retries, 10);
+    let mut spent = 0;
+    for _ in 0..1_000 {
+        budget.earn(20);
+        spent += u32::from(budget.spend());
+    }
+    assert_eq!(spent, 200);
+}
+
+#[test]
+fn key_is_remembered_for_its_window_and_forgotten_if_not_run() {
+    let now = Instant::now();
+    let mut keys = KeyTable::default();
+    let (a, b) = ([1; 32], [2; 32]);
+    assert_eq!(keys.begin(a, now), KeyEntry::New);
+    assert_eq!(keys.begin(a, now), KeyEntry::Known(Fate::Running));
+    keys.end(a, Some(Fate::Ran), now);
+    assert_eq!(
+        keys.begin(a, now + KEY_WINDOW / 2),
+        KeyEntry::Known(Fate::Ran)
+    );
+    assert_eq!(keys.begin(a, now + KEY_WINDOW), KeyEntry::New);
+    assert_eq!(keys.begin(b, now), KeyEntry::New);
+    keys.end(b, None, now);
+    assert_eq!(keys.begin(b, now), KeyEntry::New);
+}
+
+#[test]
+fn full_key_table_forgets_ended_calls_only() {
+    let now = Instant::now();
+    let mut keys = KeyTable::default();
+    let key = |i: usize| {
+        let mut key = [0; 32];
+        key[..8].copy_from_slice(&i.to_be_bytes());
+        key
+    };
+    for i in 0..MAX_KEYS {
+        assert_eq!(keys.begin(key(i), now), KeyEntry::New);
+    }
+    assert_eq!(keys.begin(key(MAX_KEYS), now), KeyEntry::Full);
+    keys.end(key(7), Some(Fate::Ran), now);
+    assert_eq!(keys.begin(key(MAX_KEYS), now), KeyEntry::New);
+    assert_eq!(keys.begin(key(8), now), KeyEntry::Known(Fate::Running));
+}
+
+fn candidate(nearness: Nearness, load: f64) -> Candidate {
+    Candidate {
+        nearness,
+        load,
+        weight: 1.0,
+        standing: Standing::Open,
+        tried: false,
+    }
+}
+
+/// Returns how often each candidate is chosen in 10,000 choices.
+fn shares(candidates: &[Candidate]) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut shares = vec![0; candidates.len()];
+    for _ in 0..10_000 {
+        let chosen = choose::upstream(candidates, &mut rng).expect("a candidate");
+        shares[chosen] += 1;
+    }
+    shares
+}
+
+#[test]
+fn choice_stays_near_until_the_near_ones_are_loaded() {
+    let near = candidate(Nearness::Domain, 0.5);
+    let far = candidate(Nearness::Far, 0.0);
+    assert_eq!(shares(&[near, far]), [10_000, 0]);
+    let loaded = candidate(Nearness::Domain, 0.9);
+    let region = candidate(Nearness::Region, 0.1);
+    let shares = shares(&[loaded, region, far]);
+    assert!(shares[1] > 7_000 && shares[2] < 2_500, "{shares:?}");
+}
+
+#[test]
+fn cold_candidate_gets_its_weight() {
+    let warm = candidate(Nearness::Domain, 0.0);
+    let cold = Candidate {
+        weight: 0.25,
+        ..warm
+    };
+    let shares = shares(&[warm, warm, warm, cold]);
+    // A quarter of what a warm one gets: 0.25 / 3.25.
+    assert!((600..950).contains(&shares[3]), "{shares:?}");
+}
+
+#[test]
+fn choice_passes_over_what_is_set_aside_or_tried() {
+    let open = candidate(Nearness::Far, 0.9);
+    let mut aside = candidate(Nearness::Domain, 0.0);
+    aside.standing = Standing::Aside;
+    assert_eq!(shares(&[aside, open]), [0, 10_000]);
+    assert_eq!(shares(&[aside]), [10_000]);
+    let mut tried = open;
+    tried.tried = true;
+    let mut rng = SmallRng::seed_from_u64(7);
+    assert_eq!(choose::upstream(&[tried], &mut rng), None);
+}
+
+#[test]
+fn failing_upstream_is_set_aside_and_taken_back_by_trials() {
+    let mut now = Instant::now();
+    let mut health = Health::new(now);
+    for _ in 0..5 {
+        health.observe(Seen::Failed, now);
+    }
+    assert!(health.is_suspect(None));
+    health.set_aside(now);
+    assert_eq!(health.standing(now), Standing::Aside);
+    now += 2 * SECOND;
+    for _ in 0..3 {
+        assert_eq!(health.standing(now), Standing::Trial);
+        health.called(now);
+        assert_eq!(health.standing(now), Standing::Aside);
+        health.observe(Seen::Good(millis(1)), now);
+        now += millis(200);
+    }
+    assert_eq!(health.standing(now), Standing::Open);
+    health.set_aside(now);
+    assert_eq!(health.standing(now + 3 * SECOND), Standing::Aside);
+}
+
+#[test]
+fn slow_upstream_is_suspect_beside_its_pool() {
+    let now = Instant::now();
+    let mut health = Health::new(now);
+    for _ in 0..20 {
+        health.observe(Seen::Good(millis(100)), now);
+    }
+    assert!(!health.is_suspect(None));
+    assert!(!health.is_suspect(Some(0.05)));
+    assert!(health.is_suspect(Some(0.01)));
+}
--- /dev/null
+++ b/crates/call/tests/stop.rs
@@ -0,0 +1,109 @@
+//! Planned stops: nothing in flight is cut, and what is cut is counted.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::State;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::Version;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use model::Rules;
+use support::{LIMIT, Node, call, request, serve, wait_until};
+use tokio::sync::Semaphore;
+
+type Shared = (Arc<AtomicUsize>, Arc<Semaphore>);
+
+/// Starts a node whose upstream sends half an answer, and the rest when it is let.
+async fn start() -> (Node, Shared) {
+    let shared: Shared = (Arc::default(), Arc::new(Semaphore::new(0)));
+    let run = async |State((count, open)): State<Shared>| {
+        count.fetch_add(1, Ordering::SeqCst);
+        let rest = futures_util::stream::once(async move {
+            open.acquire().await.expect("never closed").forget();
+            Ok::<_, std::io::Error>(Bytes::from("rest"))
+        });
+        let half = futures_util::stream::iter([Ok(Bytes::from("half "))]);
+        axum::body::Body::from_stream(half.chain(rest))
+    };
+    let upstream = serve(Router::new().fallback(run).with_state(shared.clone())).await;
+    let node = Node::start("a-1", "proofdesk", 12, upstream).await;
+    node.install(&[("/", "proofdesk", Rules::default())]);
+    (node, shared)
+}
+
+#[tokio::test]
+async fn stop_lets_calls_in_flight_finish() {
+    for version in [Version::HTTP_11, Version::HTTP_2] {
+        let (node, (count, open)) = start().await;
+        let client = Client::builder(TokioExecutor::new())
+            .http2_only(version == Version::HTTP_2)
+            .build_http::<Full<Bytes>>();
+        let request = request(node.ingress.address(), "GET", "/").version(version);
+        let request = request.body(Full::default()).expect("a request");
+        let calling = tokio::spawn(async move {
+            let response = client.request(request).await.map_err(|e| e.to_string())?;
+            let body = response.into_body().collect().await;
+            body.map(|body| body.to_bytes()).map_err(|e| e.to_string())
+        });
+        wait_until("the run", || count.load(Ordering::SeqCst) == 1).await;
+        let stopping =
+            tokio::spawn(
+                async move { node.ingress.stop(LIMIT).await + node.gate.stop(LIMIT).await },
+            );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        open.add_permits(1);
+        let body = calling.await.expect("no panic").expect("a whole answer");
+        assert_eq!(&body[..], b"half rest");
+        assert_eq!(stopping.await.expect("no panic"), 0);
+    }
+}
+
+#[tokio::test]
+async fn stop_counts_the_calls_that_it_cuts() {
+    let (node, (count, _open)) = start().await;
+    let ingress = node.ingress.address();
+    for _ in 0..3 {
+        let request = request(ingress, "GET", "/").body(Full::default());
+        tokio::spawn(support::send(request.expect("a request")));
+    }
+    wait_until("the runs", || count.load(Ordering::SeqCst) == 3).await;
+    assert_eq!(node.ingress.stop(Duration::from_millis(50)).await, 3);
+}
+
+#[tokio::test]
+async fn slots_hold_under_many_calls_and_a_new_claim() {
+    let most = Arc::new(AtomicUsize::new(0));
+    let running = Arc::new(AtomicUsize::new(0));
+    let state = (Arc::clone(&running), Arc::clone(&most));
+    let run = async |State((running, most)): State<(Arc<AtomicUsize>, Arc<AtomicUsize>)>| {
+        let now = running.fetch_add(1, Ordering::SeqCst) + 1;
+        most.fetch_max(now, Ordering::SeqCst);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        running.fetch_sub(1, Ordering::SeqCst);
+        "ok"
+    };
+    let upstream = serve(Router::new().fallback(run).with_state(state)).await;
+    let node = Node::start("a-1", "proofdesk", 4, upstream).await;
+    node.install(&[("/", "proofdesk", Rules::default())]);
+    let ingress = node.ingress.address();
+    let mut calls = tokio::task::JoinSet::new();
+    for i in 0..200 {
+        calls.spawn(async move { call(ingress, "GET", "/", "").await.status.as_u16() });
+        if i == 100 {
+            let mut fewer = node.announcement.clone();
+            fewer.slots = 3;
+            node.backend.announce(fewer);
+        }
+    }
+    let statuses = calls.join_all().await;
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)));
+    assert!(statuses.contains(&200));
+    assert!(most.load(Ordering::SeqCst) <= 4);
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -160,6 +160,7 @@
         let ingress = Ingress::open(
             Arc::clone(&table),
             settings.vm.failure_domain.clone(),
+            settings.vm.region.clone(),
             key,
             metrics,
             log.clone(),
