Complete the command line, the settings and the errors of the administration API

Cause: problems were reported by key and not by place in the file, settings were checked for form only, unknown paths and bad queries had no JSON error, and stopping the administration aborted an accept in flight.

The keys of problems are mapped to places in the operator's file after validation (model::Places); carrying places through the state was ruled out, as the state is shared with other teams' parts. A lost answer of an accept is told apart from an unreachable daemon (exit 4, not 5).

--- a/crates/admin/src/auth.rs
+++ b/crates/admin/src/auth.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 use std::str::FromStr;
 
+use axum::extract::FromRequestParts;
 use http::HeaderMap;
 use http::header::AUTHORIZATION;
+use http::request::Parts;
 use model::{OperatorName, TeamName};
 
-use crate::{ErrorKind, ErrorPage};
+use crate::{Api, ErrorKind, ErrorPage};
 
 /// BLAKE3 hash of an operator's token, as it stands in the settings.
 #[derive(Clone, PartialEq)]
@@ -82,6 +84,15 @@
     }
 }
 
+impl FromRequestParts<Api> for Operator {
+    type Rejection = ErrorPage;
+
+    /// Finds the operator before the body of the call is read.
+    async fn from_request_parts(parts: &mut Parts, api: &Api) -> Result<Self, ErrorPage> {
+        api.operators.find(&parts.headers).cloned()
+    }
+}
+
 /// All operators.
 #[derive(Debug, Clone, Default)]
 pub struct Operators(pub Vec<Operator>);
--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -1,18 +1,22 @@
 //! The client that the command line uses.
 
+use std::error::Error as _;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client as HttpClient;
 use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client as HttpClient, Error as HttpError};
 use hyper_util::rt::TokioExecutor;
-use model::{AcceptId, Secret, Version, VmId};
+use model::{AcceptId, Secret, TeamName, Version, VmId};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Accepted, DiffReply, ErrorPage, LogEntry, Shown, Status};
+use crate::{
+    AcceptQuery, Accepted, Checked, DiffReply, ErrorPage, LogEntry, RollbackQuery, Shown, Status,
+};
 
 /// A failed call of the API.
 #[derive(Debug, thiserror::Error)]
@@ -20,6 +24,9 @@
     /// The daemon cannot be reached.
     #[error("the daemon at {0} cannot be reached ({1}); check the address and that it runs")]
     Unreachable(SocketAddr, String),
+    /// The daemon was reached, but its answer was lost.
+    #[error("the answer of the daemon at {0} was lost ({1})")]
+    Lost(SocketAddr, String),
     /// The daemon refused the call.
     #[error("{}; {}", .0.message, .0.remedy)]
     Refused(Box<ErrorPage>),
@@ -57,11 +64,24 @@
         accept_id: &AcceptId,
         reason: &str,
     ) -> Result<Accepted, ClientError> {
-        let path = format!("/v1/accept?accept_id={accept_id}&reason={}", encode(reason));
+        let query = encode(&AcceptQuery {
+            accept_id: accept_id.clone(),
+            reason: reason.into(),
+        })?;
+        let path = format!("/v1/accept?{query}");
         self.json(Method::POST, &path, config).await
     }
 
-    /// Accepts the content of an old version as a new one.
+    /// Checks a printed configuration against the newest version, without accepting it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has problems or the daemon cannot be reached.
+    pub async fn check(&self, config: Vec<u8>) -> Result<Checked, ClientError> {
+        self.json(Method::POST, "/v1/check", config).await
+    }
+
+    /// Accepts the content of an old version as a new one; of `team` alone if one is given.
     ///
     /// # Errors
     ///
@@ -71,9 +91,16 @@
         version: Version,
         accept_id: &AcceptId,
         reason: &str,
+        team: Option<&TeamName>,
     ) -> Result<Accepted, ClientError> {
-        let reason = encode(reason);
-        let path = format!("/v1/rollback/{version}?accept_id={accept_id}&reason={reason}");
+        let query = encode(&RollbackQuery {
+            accept: AcceptQuery {
+                accept_id: accept_id.clone(),
+                reason: reason.into(),
+            },
+            team: team.cloned(),
+        })?;
+        let path = format!("/v1/rollback/{version}?{query}");
         self.json(Method::POST, &path, Vec::new()).await
     }
 
@@ -138,7 +165,6 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Bytes, ClientError> {
-        let unreadable = |error: String| ClientError::Unreadable(error);
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address));
@@ -147,24 +173,35 @@
         }
         let request = request
             .body(Full::from(body))
-            .map_err(|error| unreadable(error.to_string()))?;
+            .map_err(|error| ClientError::Unreadable(error.to_string()))?;
         let response = self
             .http
             .request(request)
             .await
-            .map_err(|error| ClientError::Unreachable(self.address, error.to_string()))?;
+            .map_err(|error| self.failed(&error))?;
         let status = response.status();
         let bytes = response
             .into_body()
             .collect()
             .await
-            .map_err(|error| unreadable(error.to_string()))?
+            .map_err(|error| ClientError::Lost(self.address, error.to_string()))?
             .to_bytes();
         if status.is_success() {
             return Ok(bytes);
         }
         Err(refused(status, &bytes))
     }
+
+    /// Tells a call that surely was not made from one whose answer was lost.
+    fn failed(&self, error: &HttpError) -> ClientError {
+        let cause = error
+            .source()
+            .map_or(error.to_string(), ToString::to_string);
+        if error.is_connect() {
+            return ClientError::Unreachable(self.address, cause);
+        }
+        ClientError::Lost(self.address, cause)
+    }
 }
 
 fn refused(status: StatusCode, bytes: &[u8]) -> ClientError {
@@ -177,16 +214,7 @@
     }
 }
 
-/// Percent-encodes a query value.
-fn encode(text: &str) -> String {
-    let mut encoded = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        match byte {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
-                encoded.push(char::from(byte));
-            }
-            _ => encoded.push_str(&format!("%{byte:02X}")),
-        }
-    }
-    encoded
+/// Writes `query` in the form of a query string.
+fn encode(query: &impl Serialize) -> Result<String, ClientError> {
+    serde_urlencoded::to_string(query).map_err(|error| ClientError::Unreadable(error.to_string()))
 }
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors as the API answers them.
 
 use axum::Json;
+use axum::extract::rejection::{PathRejection, QueryRejection};
 use axum::response::{IntoResponse, Response};
 use http::StatusCode;
 use ledger::Error as LedgerError;
@@ -23,12 +24,34 @@
     Conflict,
     /// What was asked for does not exist.
     NotFound,
+    /// The path does not take this method.
+    MethodNotAllowed,
+    /// The body is too large.
+    TooLarge,
     /// The store is out; nothing was accepted.
     Unavailable,
     /// The store lost an answer; the accept may have taken effect.
     Unknown,
 }
 
+impl ErrorKind {
+    /// Returns the kind as it stands in JSON and in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthenticated => "unauthenticated",
+            Self::Forbidden => "forbidden",
+            Self::Invalid => "invalid",
+            Self::Conflict => "conflict",
+            Self::NotFound => "not_found",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::TooLarge => "too_large",
+            Self::Unavailable => "unavailable",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// An error as the API answers it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, thiserror::Error)]
 #[error("{message}")]
@@ -63,6 +86,8 @@
             ErrorKind::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
             ErrorKind::Conflict => StatusCode::CONFLICT,
             ErrorKind::NotFound => StatusCode::NOT_FOUND,
+            ErrorKind::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+            ErrorKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             ErrorKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             ErrorKind::Unknown => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -99,6 +124,26 @@
     }
 }
 
+impl From<QueryRejection> for ErrorPage {
+    fn from(rejection: QueryRejection) -> Self {
+        Self::new(
+            ErrorKind::BadRequest,
+            rejection.body_text(),
+            "see docs/OPERATING.md for the query that the call takes",
+        )
+    }
+}
+
+impl From<PathRejection> for ErrorPage {
+    fn from(rejection: PathRejection) -> Self {
+        Self::new(
+            ErrorKind::BadRequest,
+            rejection.body_text(),
+            "see docs/OPERATING.md for the path of the call",
+        )
+    }
+}
+
 impl IntoResponse for ErrorPage {
     fn into_response(self) -> Response {
         (self.status(), Json(self)).into_response()
--- /dev/null
+++ b/crates/admin/src/health.rs
@@ -0,0 +1,42 @@
+//! Health, readiness and metrics.
+
+use axum::extract::State;
+use axum::response::{IntoResponse, Response};
+use model::Version;
+
+use crate::{Api, ErrorKind, ErrorPage};
+
+/// Answers while the process runs.
+pub(crate) async fn healthy() -> &'static str {
+    "ok\n"
+}
+
+/// Answers with success only when the daemon serves a version.
+pub(crate) async fn ready(State(api): State<Api>) -> Result<&'static str, ErrorPage> {
+    if api.table.snapshot().version > Version::default() {
+        return Ok("ready\n");
+    }
+    Err(ErrorPage::new(
+        ErrorKind::Unavailable,
+        "the daemon serves no configuration yet",
+        "accept a first one, or see `sardinestall status` for why none arrives",
+    ))
+}
+
+/// Returns the daemon's metrics in the text format of Prometheus.
+pub(crate) async fn metrics(State(api): State<Api>) -> Result<Response, ErrorPage> {
+    let version = api.table.snapshot().version;
+    api.metrics
+        .observe(version, api.members(), api.node.is_rooted());
+    let encoder = prometheus::TextEncoder::new();
+    let text = encoder
+        .encode_to_string(&api.registry.gather())
+        .map_err(|error| {
+            ErrorPage::new(
+                ErrorKind::Unavailable,
+                format!("the metrics cannot be written: {error}"),
+                "this is a defect, report it",
+            )
+        })?;
+    Ok(([("content-type", prometheus::TEXT_FORMAT)], text).into_response())
+}
--- a/crates/admin/src/message.rs
+++ b/crates/admin/src/message.rs
@@ -8,6 +8,34 @@
 };
 use serde::{Deserialize, Serialize};
 
+/// What goes with an accept, beside the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AcceptQuery {
+    /// Id by which a lost answer is settled.
+    pub accept_id: AcceptId,
+    /// Reason for the audit trail.
+    #[serde(default)]
+    pub reason: String,
+}
+
+/// What goes with a rollback, beside the version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RollbackQuery {
+    /// Id and reason.
+    #[serde(flatten)]
+    pub accept: AcceptQuery,
+    /// Team whose parts alone are rolled back; every part that differs when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<TeamName>,
+}
+
+/// A configuration that could be accepted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Checked {
+    /// Items that an accept would change.
+    pub changed: Vec<Key>,
+}
+
 /// An accepted configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::counted::CountedStore;
 use crate::{Settings, SpawnError};
 
 /// Time between announcing the stop and refusing calls, so that others hear of it first.
@@ -140,6 +141,7 @@
         let addresses = listeners.addresses()?;
         let registry = Registry::new();
         let metrics = Metrics::open(&registry)?;
+        let store: Arc<dyn Store> = Arc::new(CountedStore::open(store, &registry)?);
         let members = Arc::new(Members::open(own_record(&settings, &addresses)));
         let table = Arc::new(Table::open(members));
         let ledger = Arc::new(Ledger::open(Arc::clone(&store)));
@@ -170,6 +172,7 @@
             table: Arc::clone(&table),
             node: Arc::clone(&node),
             operators: Arc::new(Operators(operators)),
+            metrics: admin::Metrics::open(&registry)?,
             registry,
             log: log.clone(),
         };
@@ -213,11 +216,12 @@
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         sleep(LEAVE_PAUSE).await;
-        self.announce.stop();
+        self.announce.stop(self.stop_limit).await;
         let mut cut = self.ingress.stop(self.stop_limit).await;
         cut += self.gate.stop(self.stop_limit).await;
+        // An accept in flight is answered before the distribution ends.
+        self.admin.stop(self.stop_limit).await;
         self.node.stop().await;
-        self.admin.stop();
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
     }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use crate::SettingsProblem;
+
 /// Settings that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -16,15 +18,23 @@
         error: io::Error,
     },
     /// The file is not well formed, or has an unknown key or a bad value.
-    #[error("settings `{path}`: {message}; `sardinestall settings` prints every key")]
+    #[error("settings `{path}` cannot be used; mend each:{}", list(problems))]
     Invalid {
         /// File.
         path: PathBuf,
-        /// Where and what.
-        message: String,
+        /// Every problem found.
+        problems: Vec<SettingsProblem>,
     },
 }
 
+/// Writes each problem on a line of its own.
+fn list(problems: &[SettingsProblem]) -> String {
+    problems
+        .iter()
+        .map(|problem| format!("\n{problem}"))
+        .collect()
+}
+
 /// A daemon that could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum SpawnError {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! One daemon: its settings, and the wiring of its parts.
 
+mod counted;
 mod daemon;
 mod error;
 mod settings;
@@ -8,5 +9,5 @@
 pub use error::{SettingsError, SpawnError};
 pub use settings::{
     FleetSettings, ListenSettings, LogFormat, LogLevel, LogSettings, OperatorSettings, Settings,
-    StoreSettings, UpstreamSettings, VmSettings,
+    SettingsProblem, StoreSettings, UpstreamSettings, VmSettings,
 };
--- /dev/null
+++ b/crates/daemon/src/settings/check.rs
@@ -0,0 +1,201 @@
+//! Rules that settings must keep beyond their form.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+
+use model::Millis;
+
+use super::Settings;
+
+/// Beacons that must fit into a relay's lease, so that one lost renewal does not end it.
+const BEACONS_PER_LEASE: u64 = 3;
+
+/// One reason why settings cannot be used.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SettingsProblem {
+    /// Key, such as `fleet.lease`.
+    pub key: String,
+    /// What is wrong, and what to do about it.
+    pub message: String,
+}
+
+impl SettingsProblem {
+    pub(crate) fn new(key: impl Into<String>, message: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            message: message.into(),
+        }
+    }
+}
+
+impl fmt::Display for SettingsProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "`{}`: {}", self.key, self.message)
+    }
+}
+
+/// Returns every problem of `settings`; an empty list means that a daemon can start with them.
+pub(crate) fn check(settings: &Settings) -> Vec<SettingsProblem> {
+    let mut problems = Vec::new();
+    check_listen(settings, &mut problems);
+    check_fleet(settings, &mut problems);
+    check_upstream(settings, &mut problems);
+    check_operators(settings, &mut problems);
+    problems
+}
+
+fn check_listen(settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    let listen = &settings.listen;
+    let addresses = [
+        ("caller", listen.caller),
+        ("gate", listen.gate),
+        ("fleet", listen.fleet),
+        ("admin", listen.admin),
+        ("announce", listen.announce),
+    ];
+    for (i, (key, address)) in addresses.iter().enumerate() {
+        let earlier = addresses[..i]
+            .iter()
+            .find(|(_, other)| overlap(other, address));
+        if let Some((other, _)) = earlier {
+            problems.push(SettingsProblem::new(
+                format!("listen.{key}"),
+                format!("{address} is also the address of `listen.{other}`; choose another port"),
+            ));
+        }
+    }
+    // Other daemons reach these two by the address in this daemon's record.
+    for (key, address) in [("gate", listen.gate), ("fleet", listen.fleet)] {
+        if address.ip().is_unspecified() {
+            problems.push(SettingsProblem::new(
+                format!("listen.{key}"),
+                format!("other daemons cannot connect to {address}; write the VM's own IP address"),
+            ));
+        }
+    }
+}
+
+/// Returns whether two listeners cannot have these addresses at once.
+fn overlap(one: &SocketAddr, other: &SocketAddr) -> bool {
+    let same_ip =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() != 0 && one.port() == other.port() && same_ip
+}
+
+fn check_fleet(settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    let fleet = &settings.fleet;
+    let mut report = |key: &str, message: String| problems.push(SettingsProblem::new(key, message));
+    if fleet.key.expose().is_empty() {
+        report(
+            "fleet.key",
+            "the fleet's key is missing or empty; write it here, or name a file with \
+             `fleet.key_file`"
+                .into(),
+        );
+    }
+    let printable = |byte: u8| byte.is_ascii_graphic();
+    if !fleet.key.expose().bytes().all(printable) {
+        report(
+            "fleet.key",
+            "the fleet's key has a character that a header cannot carry; use ASCII letters, \
+             digits and signs without spaces"
+                .into(),
+        );
+    }
+    if fleet.fanout == 0 {
+        report(
+            "fleet.fanout",
+            "0 takes no follower; write at least 1".into(),
+        );
+    }
+    if fleet.relays == 0 {
+        report(
+            "fleet.relays",
+            "0 relays follow no version; write at least 1".into(),
+        );
+    }
+    for (key, time) in [
+        ("fleet.beacon", fleet.beacon),
+        ("fleet.grace", fleet.grace),
+        ("fleet.compare", fleet.compare),
+    ] {
+        if time.get() == 0 {
+            report(key, "0ms is no time; write at least 1ms".into());
+        }
+    }
+    if fleet.silence <= fleet.beacon {
+        report(
+            "fleet.silence",
+            format!(
+                "{} gives up every link, as beacons come each {}; write more than `fleet.beacon`",
+                fleet.silence, fleet.beacon
+            ),
+        );
+    }
+    let shortest = Millis::new(fleet.beacon.get().saturating_mul(BEACONS_PER_LEASE));
+    if fleet.lease <= shortest {
+        report(
+            "fleet.lease",
+            format!(
+                "{} loses the lease on one late renewal; write more than {shortest}, which is \
+                 {BEACONS_PER_LEASE} times `fleet.beacon`",
+                fleet.lease
+            ),
+        );
+    }
+}
+
+fn check_upstream(settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    if settings.upstream.silence.get() == 0 {
+        problems.push(SettingsProblem::new(
+            "upstream.silence",
+            "0ms forgets the upstream at once; write more than the time between its announcements",
+        ));
+    }
+}
+
+fn check_operators(settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    let empty = admin::TokenHash::of("");
+    let mut names = BTreeSet::new();
+    for (i, operator) in settings.operators.iter().enumerate() {
+        let mut report = |field: &str, message: String| {
+            let key = format!("operators[{i}].{field}");
+            problems.push(SettingsProblem::new(key, message));
+        };
+        if !names.insert(operator.name.clone()) {
+            report(
+                "name",
+                format!(
+                    "operator `{}` is listed twice; merge the two",
+                    operator.name
+                ),
+            );
+        }
+        if operator.teams.is_empty() {
+            report(
+                "teams",
+                "an operator without a team changes nothing; name a team".into(),
+            );
+        }
+        if operator.token_hash == empty {
+            report(
+                "token_hash",
+                "this is the hash of an empty token; choose a token and run `sardinestall token`"
+                    .into(),
+            );
+        }
+        let earlier = &settings.operators[..i];
+        if earlier
+            .iter()
+            .any(|other| other.token_hash == operator.token_hash)
+        {
+            report(
+                "token_hash",
+                "another operator has this token, so the audit trail cannot tell them apart; \
+                 give each a token of its own"
+                    .into(),
+            );
+        }
+    }
+}
--- a/crates/daemon/src/settings/fleet.rs
+++ b/crates/daemon/src/settings/fleet.rs
@@ -1,6 +1,7 @@
 //! Section `fleet`.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use model::{Millis, Secret};
 use serde::Deserialize;
@@ -10,7 +11,11 @@
 #[serde(deny_unknown_fields)]
 pub struct FleetSettings {
     /// Key that every daemon of the fleet shares.
+    #[serde(default = "FleetSettings::no_key")]
     pub key: Secret,
+    /// File that holds the key, relative to the settings; instead of `key`.
+    #[serde(default)]
+    pub key_file: Option<PathBuf>,
     /// Fleet addresses of other daemons, tried when the store is out.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -42,6 +47,7 @@
     pub fn with_key(key: Secret) -> Self {
         Self {
             key,
+            key_file: None,
             seeds: Vec::new(),
             fanout: Self::default_fanout(),
             relays: Self::default_relays(),
@@ -53,6 +59,10 @@
         }
     }
 
+    fn no_key() -> Secret {
+        Secret::new("")
+    }
+
     const fn default_fanout() -> usize {
         8
     }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,20 +1,18 @@
 //! Settings of a daemon, from TOML.
 
+mod check;
 mod fleet;
 mod listen;
 mod log;
 mod operator;
+mod read;
 mod store;
 mod upstream;
 mod vm;
 
-use std::fs;
-use std::path::Path;
-
 use serde::Deserialize;
 
-use crate::SettingsError;
-
+pub use check::SettingsProblem;
 pub use fleet::FleetSettings;
 pub use listen::ListenSettings;
 pub use log::{LogFormat, LogLevel, LogSettings};
@@ -48,19 +46,6 @@
 }
 
 impl Settings {
-    /// Reads settings from the file at `path`.
-    ///
-    /// # Errors
-    ///
-    /// Names the file, the key and the remedy.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
-            path: path.into(),
-            error,
-        })?;
-        toml::from_str(&text).map_err(|error| SettingsError::Invalid {
-            path: path.into(),
-            message: error.to_string().trim_end().into(),
-        })
-    }
+    /// Every key with its default and its meaning, as `sardinestall settings` prints them.
+    pub const COMMENTED: &str = include_str!("default.toml");
 }
--- a/crates/ledger/src/accept.rs
+++ b/crates/ledger/src/accept.rs
@@ -6,7 +6,7 @@
 
 use model::{
     AcceptId, Base, Change, Config, Digest, Entry, Key, MAX_CHANGE_BYTES, OperatorName, Piece,
-    Problem, Problems, State, TeamName, UnixMillis, Version, validate,
+    Places, Problem, Problems, State, TeamName, UnixMillis, Version, validate,
 };
 use store::{Expect, Put};
 use tokio::time::{Instant, sleep};
@@ -77,7 +77,7 @@
         }
         let parent = request.config.parent.unwrap_or(tip.version);
         for _ in 0..MAX_ROUNDS {
-            self.check_parent(request, &tip, parent).await?;
+            self.check_parent(&request.config, &tip, parent).await?;
             let (entries, state) = plan(&request.config, &tip.state)?;
             if entries.is_empty() {
                 return Ok(Accepted {
@@ -106,9 +106,9 @@
     }
 
     /// Refuses a configuration whose own parts changed since its parent.
-    async fn check_parent(
+    pub(crate) async fn check_parent(
         &self,
-        request: &Request,
+        config: &Config,
         tip: &Tip,
         parent: Version,
     ) -> Result<(), Error> {
@@ -117,11 +117,7 @@
         }
         let mut keys = BTreeSet::new();
         for change in self.since(tip, parent).await? {
-            if change
-                .teams
-                .iter()
-                .any(|team| request.config.teams.contains(team))
-            {
+            if change.teams.iter().any(|team| config.teams.contains(team)) {
                 keys.extend(change.entries.iter().map(|entry| entry.key.clone()));
             }
         }
@@ -222,7 +218,7 @@
 }
 
 /// Returns what `config` changes in `state`, and the state after it.
-fn plan(config: &Config, state: &State) -> Result<(Vec<Entry>, State), Error> {
+pub(crate) fn plan(config: &Config, state: &State) -> Result<(Vec<Entry>, State), Error> {
     let mut problems = Vec::new();
     let mut next = state.clone();
     let mut entries = Vec::new();
@@ -261,7 +257,9 @@
     }
     problems.extend(validate(&next));
     if !problems.is_empty() {
-        return Err(Error::Invalid(Problems(problems)));
+        let places = Places::of(config);
+        let problems = problems.into_iter().map(|problem| places.locate(problem));
+        return Err(Error::Invalid(Problems(problems.collect())));
     }
     Ok((entries, next))
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod accept;
 mod chain;
+mod check;
 mod checkpoint;
 mod error;
 
 pub use accept::{Accepted, Request};
 pub use chain::{Ledger, Tip};
+pub use check::check;
 pub use error::Error;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 mod digest;
 mod name;
 mod parse;
+mod place;
 mod problem;
 mod secret;
 mod state;
@@ -22,6 +23,7 @@
     TeamName, VmId,
 };
 pub use parse::parse;
+pub use place::Places;
 pub use problem::{Problem, Problems};
 pub use secret::Secret;
 pub use state::{Piece, State, StateError};
--- a/crates/model/src/parse.rs
+++ b/crates/model/src/parse.rs
@@ -83,7 +83,7 @@
 ) -> Problem {
     let path = error.path().to_string();
     let place = match (prefix, path.as_str()) {
-        ("", ".") => "file".to_owned(),
+        ("", "." | "?") => "file".to_owned(),
         ("", path) => path.to_owned(),
         (prefix, ".") => prefix.to_owned(),
         (prefix, path) => format!("{prefix}.{path}"),
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,23 +1,23 @@
 //! Carries out one command.
 
 use std::io::{self, Read, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
-use admin::{Client, TokenHash};
+use admin::{Client, ClientError, Status, TokenHash};
 use clap::CommandFactory;
+use clap_mangen::Man;
 use daemon::{Daemon, Settings};
 use model::{AcceptId, Secret, State, Version};
 use rand::RngExt;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep};
 
-use crate::cli::{AcceptArgs, Cli, Command, Remote};
+use crate::cli::{AcceptArgs, Cli, Command, Remote, RollbackArgs};
 use crate::error::Error;
-use crate::{logging, output};
-
-/// Longest wait until a version is in force everywhere.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+use crate::interrupt::Interrupt;
+use crate::output::Output;
+use crate::{describe, logging};
 
 /// Time between two looks at the fleet.
 const WAIT_PAUSE: Duration = Duration::from_millis(200);
@@ -27,64 +27,60 @@
 
 /// Carries out `cli`'s command.
 pub(crate) async fn run(cli: Cli) -> Result<(), Error> {
+    let output = Output { json: cli.json };
     match cli.command {
         Command::Daemon { settings } => run_daemon(&settings).await,
-        Command::Check { file } => check(&file),
-        Command::Accept(args) => accept(args).await,
+        Command::Check { file, admin } => check(&file, admin, output).await,
+        Command::Accept(args) => accept(args, output).await,
         Command::Show { version, remote } => {
-            let shown = client(&remote).show(version).await?;
-            println!("{}", serde_json::to_string_pretty(&shown.config)?);
-            Ok(())
+            let shown = client(&remote)?.show(version).await?;
+            // The same form is taken by `accept`, so it is JSON in any case.
+            Output { json: false }.print(&shown.config, |config| {
+                serde_json::to_string_pretty(config).unwrap_or_default()
+            })
         }
         Command::Diff { from, to, remote } => {
-            let diff = client(&remote).diff(from, to).await?;
-            output::print(&diff, remote.json, output::diff)
+            let diff = client(&remote)?.diff(from, to).await?;
+            output.print(&diff, describe::diff)
         }
         Command::Log { limit, remote } => {
-            let entries = client(&remote).log(limit).await?;
-            output::print(&entries, remote.json, |entries| output::log(entries))
-        }
-        Command::Rollback {
-            version,
-            reason,
-            accept_id,
-            remote,
-        } => {
-            let id = accept_id.unwrap_or_else(new_accept_id);
-            let reason = reason.unwrap_or_else(|| format!("rollback to version {version}"));
-            let accepted = client(&remote).rollback(version, &id, &reason).await?;
-            output::print(&accepted, remote.json, output::accepted)
+            let entries = client(&remote)?.log(limit).await?;
+            output.print(&entries, |entries| describe::log(entries))
         }
+        Command::Rollback(args) => rollback(args, output).await,
         Command::Status { remote } => {
-            let status = client(&remote).status().await?;
-            output::print(&status, remote.json, output::status)
+            let status = client(&remote)?.status().await?;
+            output.print(&status, describe::status)
         }
         Command::Drain { upstream, remote } => {
-            client(&remote).drain(&upstream).await?;
-            output::print(&upstream, remote.json, |vm| {
-                format!("upstream on VM {vm} drains")
-            })
+            client(&remote)?.drain(&upstream).await?;
+            output.print(&upstream, |vm| format!("upstream on VM {vm} drains"))
+        }
+        Command::Settings => {
+            print!("{}", Settings::COMMENTED);
+            Ok(())
         }
-        Command::Token => token(),
+        Command::Token => token(output),
         #[cfg(feature = "demo")]
         Command::Demo => crate::demo::run().await,
         Command::Completions { shell } => {
-            clap_complete::generate(
-                shell,
-                &mut Cli::command(),
-                "sardinestall",
-                &mut io::stdout(),
-            );
+            let mut command = Cli::command();
+            clap_complete::generate(shell, &mut command, "sardinestall", &mut io::stdout());
             Ok(())
         }
-        Command::Man => Ok(clap_mangen::Man::new(Cli::command()).render(&mut io::stdout())?),
+        Command::Man { command, dir } => man(command.as_deref(), dir.as_deref()),
     }
 }
 
 async fn run_daemon(path: &Path) -> Result<(), Error> {
+    let mut interrupt = Interrupt::open()?;
     let settings = Settings::read(path)?;
     let log = logging::open(&settings.log);
-    let daemon = Daemon::spawn(settings, log).await?;
+    let daemon = tokio::select! {
+        daemon = Daemon::spawn(settings, log) => daemon,
+        () = interrupt.wait() => return Ok(()),
+    };
+    let daemon = daemon.map_err(|error| Error::Spawn(path.into(), error))?;
     let addresses = daemon.addresses();
     let mut stdout = io::stdout();
     writeln!(
@@ -93,59 +89,100 @@
         addresses.caller, addresses.gate, addresses.fleet, addresses.admin, addresses.announce
     )?;
     stdout.flush()?;
-    interrupted().await?;
+    interrupt.wait().await;
     daemon.stop().await;
     Ok(())
 }
 
-/// Waits for an interrupt or a request to terminate.
-pub(crate) async fn interrupted() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    tokio::select! {
-        interrupt = tokio::signal::ctrl_c() => interrupt,
-        _ = terminate.recv() => Ok(()),
-    }
+async fn check(file: &Path, admin: Option<SocketAddr>, output: Output) -> Result<(), Error> {
+    let bytes = read(file)?;
+    let changed = match admin {
+        Some(admin) => Client::open(admin, None).check(bytes).await?.changed,
+        None => {
+            let config = model::parse(&bytes).map_err(Error::Problems)?;
+            ledger::check(&config, &State::empty()).map_err(|error| match error {
+                ledger::Error::Invalid(problems) => Error::Problems(problems),
+                error => Error::Check(error),
+            })?
+        }
+    };
+    output.print(&admin::Checked { changed }, |_| "no problems".into())
 }
 
-fn check(file: &Path) -> Result<(), Error> {
-    let config = model::parse(&read(file)?).map_err(Error::Problems)?;
-    let problems = model::validate(&State::from_items(config.items()));
-    if !problems.is_empty() {
-        return Err(Error::Problems(model::Problems(problems)));
+async fn accept(args: AcceptArgs, output: Output) -> Result<(), Error> {
+    let config = read(&args.file)?;
+    let id = args.accept_id.unwrap_or_else(new_accept_id);
+    let client = client(&args.remote)?;
+    let accepted = client.accept(config, &id, &args.reason).await;
+    let accepted = accepted.map_err(|error| unsettled(error, &id))?;
+    output.print(&accepted, describe::accepted)?;
+    if args.wait {
+        wait(&client, accepted.version, args.wait_limit.duration()).await?;
     }
-    println!("no problems");
     Ok(())
 }
 
-async fn accept(args: AcceptArgs) -> Result<(), Error> {
-    let config = read(&args.file)?;
+async fn rollback(args: RollbackArgs, output: Output) -> Result<(), Error> {
     let id = args.accept_id.unwrap_or_else(new_accept_id);
-    let client = client(&args.remote);
-    let accepted = client.accept(config, &id, &args.reason).await?;
-    output::print(&accepted, args.remote.json, output::accepted)?;
-    if args.wait {
-        wait(&client, accepted.version).await?;
+    let reason = args
+        .reason
+        .unwrap_or_else(|| format!("rollback to version {}", args.version));
+    let client = client(&args.remote)?;
+    let accepted = client
+        .rollback(args.version, &id, &reason, args.team.as_ref())
+        .await;
+    let accepted = accepted.map_err(|error| unsettled(error, &id))?;
+    output.print(&accepted, describe::accepted)
+}
+
+/// Names the accept id where the answer to an accept was lost.
+fn unsettled(error: ClientError, id: &AcceptId) -> Error {
+    match error {
+        ClientError::Lost(..) => Error::Unsettled(id.clone(), error),
+        error => error.into(),
     }
-    Ok(())
 }
 
 /// Waits until every daemon serves `version` or a later one.
-pub(crate) async fn wait(client: &Client, version: Version) -> Result<(), Error> {
-    let deadline = Instant::now() + WAIT_TIMEOUT;
-    while !client.status().await?.is_converged(version) {
+pub(crate) async fn wait(client: &Client, version: Version, limit: Duration) -> Result<(), Error> {
+    let deadline = Instant::now() + limit;
+    loop {
+        let status: Status = client.status().await?;
+        if status.is_converged(version) {
+            return Ok(());
+        }
         if Instant::now() >= deadline {
-            return Err(Error::NotEverywhere(version));
+            let lag = describe::lag(&status, version);
+            return Err(Error::NotEverywhere { version, lag });
         }
         sleep(WAIT_PAUSE).await;
     }
-    Ok(())
 }
 
-fn token() -> Result<(), Error> {
+fn token(output: Output) -> Result<(), Error> {
     let mut token = String::new();
     io::stdin().read_line(&mut token)?;
-    println!("{}", TokenHash::of(token.trim_end()));
-    Ok(())
+    let token = token.trim_end();
+    if token.is_empty() {
+        return Err(Error::EmptyToken);
+    }
+    output.print(&TokenHash::of(token).to_string(), String::clone)
+}
+
+fn man(name: Option<&str>, dir: Option<&Path>) -> Result<(), Error> {
+    let mut command = Cli::command();
+    if let Some(dir) = dir {
+        return Ok(clap_mangen::generate_to(command, dir)?);
+    }
+    command.build();
+    let page = match name {
+        None => command,
+        Some(name) => command
+            .find_subcommand(name)
+            .cloned()
+            .ok_or_else(|| Error::NoCommand(name.into()))?,
+    };
+    Ok(Man::new(page).render(&mut io::stdout())?)
 }
 
 fn read(file: &Path) -> Result<Vec<u8>, Error> {
@@ -157,9 +194,12 @@
     std::fs::read(file).map_err(|error| Error::Read(file.into(), error))
 }
 
-fn client(remote: &Remote) -> Client {
-    let token = std::env::var(TOKEN_VARIABLE).ok().map(Secret::new);
-    Client::open(remote.admin, token)
+fn client(remote: &Remote) -> Result<Client, Error> {
+    let token = match &remote.token_file {
+        Some(file) => Some(String::from_utf8_lossy(&read(file)?).trim().to_owned()),
+        None => std::env::var(TOKEN_VARIABLE).ok(),
+    };
+    Ok(Client::open(remote.admin, token.map(Secret::new)))
 }
 
 /// Returns a new accept id.
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,6 +1,7 @@
 //! Everything in one process: a store, two failure domains, daemons, upstreams, and the example
 //! of Brno.
 
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +18,9 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::command::{interrupted, new_accept_id, wait};
+use crate::command::{new_accept_id, wait};
 use crate::error::Error;
+use crate::interrupt::Interrupt;
 use crate::logging;
 
 /// Token of the demo's only operator.
@@ -49,29 +51,42 @@
 
 /// Runs the demo until it is interrupted.
 pub(crate) async fn run() -> Result<(), Error> {
+    let mut interrupt = Interrupt::open()?;
     let log = logging::open(&LogSettings::default());
-    let mut demo = Demo::spawn(&log).await?;
-    demo.accept().await?;
+    let demo = tokio::select! {
+        demo = Demo::open(&log) => demo?,
+        () = interrupt.wait() => return Ok(()),
+    };
     let addresses = demo.daemons[0].addresses();
-    println!(
+    let mut stdout = io::stdout();
+    writeln!(
+        stdout,
         "ready {{\"caller\":\"http://{}\",\"admin\":\"http://{}\"}}",
         addresses.caller, addresses.admin
-    );
-    interrupted().await?;
-    for daemon in demo.daemons.drain(..).rev() {
-        daemon.stop().await;
-    }
+    )?;
+    stdout.flush()?;
+    interrupt.wait().await;
+    demo.stop().await;
     Ok(())
 }
 
 impl Demo {
+    /// Starts everything, and returns once every route works.
+    async fn open(log: &Logger) -> Result<Self, Error> {
+        let demo = Self::spawn(log).await?;
+        demo.accept().await?;
+        Ok(demo)
+    }
+
     async fn spawn(log: &Logger) -> Result<Self, Error> {
         let kv = Kv::open();
         let mut daemons = Vec::new();
         let mut upstreams = Vec::new();
         for (vm, domain, service) in VMS {
             let settings = settings(vm, domain)?;
-            let daemon = Daemon::spawn_on(settings, Arc::new(kv.clone()), log.clone()).await?;
+            let daemon = Daemon::spawn_on(settings, Arc::new(kv.clone()), log.clone())
+                .await
+                .map_err(fail)?;
             upstreams.push(upstream(vm, service, daemon.addresses().announce).await?);
             daemons.push(daemon);
         }
@@ -81,6 +96,13 @@
         })
     }
 
+    /// Stops the daemons, the one that callers use last.
+    async fn stop(mut self) {
+        for daemon in self.daemons.drain(..).rev() {
+            daemon.stop().await;
+        }
+    }
+
     /// Accepts the example and waits until every route of it works on every daemon.
     async fn accept(&self) -> Result<(), Error> {
         let plan = plan::brno().map_err(fail)?;
@@ -90,7 +112,7 @@
         let accepted = client
             .accept(config, &new_accept_id(), "the example of Brno")
             .await?;
-        wait(&client, accepted.version).await?;
+        wait(&client, accepted.version, READY_TIMEOUT).await?;
         let deadline = Instant::now() + READY_TIMEOUT;
         while !self
             .daemons
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,9 @@
 mod command;
 #[cfg(feature = "demo")]
 mod demo;
+mod describe;
 mod error;
+mod interrupt;
 mod logging;
 mod output;
 
@@ -16,10 +18,16 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match command::run(Cli::parse()).await {
+    let cli = Cli::parse();
+    let json = cli.json;
+    match command::run(cli).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("sardinestall: {error}");
+            if json {
+                eprintln!("{}", error.to_json());
+            } else {
+                eprintln!("sardinestall: {error}");
+            }
             error.exit_code()
         }
     }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,50 +1,225 @@
-//! The command line, as an operator or a script uses it.
-
-use std::io::Write;
-use std::process::{Command, Output, Stdio};
-
-/// Runs the command with `input` on its standard input.
-fn run(args: &[&str], input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sardinestall"))
-        .args(args)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the command starts");
-    let mut stdin = child.stdin.take().expect("standard input");
-    stdin.write_all(input.as_bytes()).expect("input is taken");
-    drop(stdin);
-    child.wait_with_output().expect("the command ends")
-}
-
-#[test]
-fn check_prints_every_problem_and_exits_with_3() {
-    let config = r#"{
-        "format": 1,
-        "teams": ["t"],
-        "services": [{"name": "S!", "team": "t"}],
-        "pools": [{"name": "p", "team": "t", "service": "s", "colour": "red"}]
-    }"#;
+//! The command line without a daemon, as an operator or a script uses it.
+
+mod common;
+
+use std::fs;
+use std::path::Path;
+
+use common::{run, stderr, stdout};
+use expect_test::{Expect, expect};
+use serde_json::Value;
+
+/// Checks that `check` refuses `config` with exit code 3 and what it says.
+fn refused(config: &str, expected: Expect) {
     let output = run(&["check", "-"], config);
-    let text = String::from_utf8_lossy(&output.stderr);
-    assert_eq!(output.status.code(), Some(3), "{text}");
-    assert!(text.contains("services[0].name"), "{text}");
-    assert!(text.contains("pools[0]"), "{text}");
+    assert_eq!(output.status.code(), Some(3));
+    assert_eq!(stdout(&output), "");
+    expected.assert_eq(&stderr(&output));
 }
 
 #[test]
-fn check_finds_dangling_references() {
-    let config = r#"{
-        "format": 1,
-        "teams": ["t"],
-        "pools": [{"name": "p", "team": "t", "service": "s"}]
-    }"#;
-    let output = run(&["check", "-"], config);
-    let text = String::from_utf8_lossy(&output.stderr);
-    assert_eq!(output.status.code(), Some(3), "{text}");
+fn check_prints_every_problem_of_form_at_its_place() {
+    refused(
+        r#"{
+            "format": 2,
+            "teams": ["t"],
+            "services": [{"name": "S!", "team": "t", "slots": -1}],
+            "pools": [{"name": "p", "team": "t", "service": "s", "colour": "red"}],
+            "routes": [{"name": "r", "team": "t", "hosts": ["*"], "path": {"prefix": "/"},
+                        "to": [{"pool": "p"}], "rules": {"timeout": "5"}}]
+        }"#,
+        expect![[r#"
+            sardinestall: the configuration has problems; mend each:
+            format: format 2 is not known; write format 1
+            services[0].name: `S!` is not a valid service name: use 1 to 63 of a-z, 0-9, `-`, `_` and `.`; see docs/CONFIG.md for the format
+            pools[0].colour: unknown field `colour`, expected one of `name`, `team`, `service`, `domains`; see docs/CONFIG.md for the format
+            routes[0].rules.timeout: `5` is not a valid time: write a whole number with a unit, such as `250ms`, `2s`, `5m` or `1h`; see docs/CONFIG.md for the format
+        "#]],
+    );
+    refused("{\"format\": 1, \"teams\": [\"t\"]", expect![[r#"
+        sardinestall: the configuration has problems; mend each:
+        file: EOF while parsing an object at line 1 column 28; see docs/CONFIG.md for the format
+    "#]]);
+    refused(
+        "{\"format\": 1, \"teams\": [\"t\"], \"pool\": []}",
+        expect![[r#"
+            sardinestall: the configuration has problems; mend each:
+            pool: unknown field `pool`, expected one of `format`, `parent`, `teams`, `services`, `pools`, `routes` at line 1 column 36; see docs/CONFIG.md for the format
+        "#]],
+    );
+}
+
+#[test]
+fn check_prints_every_problem_of_meaning_at_its_place() {
+    refused(
+        r#"{
+            "format": 1,
+            "teams": ["t"],
+            "services": [{"name": "s", "team": "t", "slots": 0},
+                         {"name": "s.x", "team": "u"}],
+            "pools": [{"name": "p", "team": "t", "service": "s"},
+                      {"name": "p.to", "team": "t", "service": "gone"},
+                      {"name": "p", "team": "t", "service": "s"}],
+            "routes": [{"name": "r", "team": "t", "hosts": [], "path": {"prefix": "proofs"},
+                        "to": [{"pool": "p", "weight": 0}, {"pool": "q", "weight": 0}],
+                        "rules": {"timeout": "2h", "retries": 11}}]
+        }"#,
+        expect![[r#"
+            sardinestall: the configuration has problems; mend each:
+            services[1].team: team `u` is not among the configuration's teams; add it to `teams` or correct the item's team
+            pools[2]: the name is used twice; rename one of the two
+            pools[1].service: service `gone` does not exist; add the service or name an existing one
+            routes[0].hosts: a route with no host takes no call; write `*` for every host
+            routes[0].path: `proofs` is not a path; begin with `/`, without `{`, `}`, `?` and `#`
+            routes[0].rules.retries: 11 retries are too many; write at most 10
+            routes[0].rules.timeout: 2h is out of range; write between 1ms and 1h
+            routes[0].to: all weights are 0; give one target a weight of at least 1
+            routes[0].to[1].pool: pool `q` does not exist; add the pool or name an existing one
+            services[0].slots: an upstream with no slot runs no call; write at least 1
+        "#]],
+    );
+}
+
+#[test]
+fn check_prints_problems_as_json() {
+    let config = r#"{"format": 1, "teams": ["t"],
+        "pools": [{"name": "p", "team": "t", "service": "s"}]}"#;
+    let output = run(&["check", "-", "--json"], config);
+    assert_eq!(output.status.code(), Some(3));
+    let report: Value = serde_json::from_str(&stderr(&output)).expect("JSON");
+    assert_eq!(report["kind"], "invalid");
+    assert_eq!(report["problems"][0]["place"], "pools[0].service");
+}
+
+#[test]
+fn check_of_a_whole_configuration_exits_with_0() {
+    let config = plan::brno().expect("valid").to_json().expect("JSON");
+    let output = run(&["check", "-"], &config);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    assert_eq!(stdout(&output), "no problems\n");
+}
+
+#[test]
+fn failures_have_their_exit_codes() {
+    let missing = run(&["check", "no-such.json"], "");
+    assert_eq!(missing.status.code(), Some(1));
+    let usage = run(&["check"], "");
+    assert_eq!(usage.status.code(), Some(2));
+    // Port 1 of this host has no listener.
+    let unreachable = run(&["status", "--admin", "http://127.0.0.1:1"], "");
+    assert_eq!(unreachable.status.code(), Some(5));
+    let json = run(&["log", "--admin", "127.0.0.1:1", "--json"], "");
+    let report: Value = serde_json::from_str(&stderr(&json)).expect("JSON");
+    assert_eq!(report["kind"], "unreachable");
+}
+
+#[test]
+fn help_lists_every_exit_code() {
+    let help = stdout(&run(&["--help"], ""));
+    for code in [
+        "0 done",
+        "1 failed",
+        "2 wrong usage",
+        "3 refused",
+        "4 unknown",
+        "5 the",
+        "6 acc",
+    ] {
+        assert!(help.contains(code), "{help}");
+    }
+}
+
+#[test]
+fn settings_are_printed() {
+    let output = run(&["settings"], "");
+    assert_eq!(stdout(&output), daemon::Settings::COMMENTED);
+}
+
+#[test]
+fn daemon_refuses_an_address_in_use() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = taken.local_addr().expect("an address");
+    let dir = tempfile::TempDir::new().expect("a directory");
+    let path = dir.path().join("daemon.toml");
+    let settings = format!(
+        "[vm]\nid = \"a-1\"\nfailure_domain = \"a\"\nregion = \"r\"\n\
+         [listen]\ncaller = \"{address}\"\n[fleet]\nkey = \"k\"\n\
+         [store]\naddress = \"127.0.0.1:1\"\n"
+    );
+    fs::write(&path, settings).expect("written");
+    let path = path.display().to_string();
+    let output = run(&["daemon", "--settings", &path], "");
+    assert_eq!(output.status.code(), Some(1));
+    let expected = format!(
+        "sardinestall: settings `{path}`: `listen.caller`: cannot listen on {address} \
+         (Address already in use (os error 98)); free the address or choose another\n"
+    );
+    assert_eq!(stderr(&output), expected);
+}
+
+#[test]
+fn token_prints_a_hash_and_never_the_token() {
+    let output = run(&["token"], "s3cret\n");
+    let hash = stdout(&output);
+    assert_eq!(hash.trim(), admin::TokenHash::of("s3cret").to_string());
+    assert!(!hash.contains("s3cret"));
+    let empty = run(&["token"], "\n");
+    assert_eq!(empty.status.code(), Some(1));
+}
+
+#[test]
+fn completions_cover_the_commands() {
+    for shell in ["bash", "zsh", "fish"] {
+        let output = run(&["completions", shell], "");
+        assert!(stdout(&output).contains("rollback"), "{shell}");
+    }
+}
+
+/// `UPDATE_GENERATED=1 cargo test --test cli` writes the pages anew.
+#[test]
+fn committed_manual_pages_match_the_commands() {
+    let committed = Path::new(env!("CARGO_MANIFEST_DIR")).join("man");
+    let made = tempfile::TempDir::new().expect("a directory");
+    let dir = made.path().display().to_string();
+    let output = run(&["man", "--dir", &dir], "");
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    let names = |dir: &Path| -> Vec<String> {
+        let entries = fs::read_dir(dir).expect("a directory");
+        let mut names: Vec<String> = entries
+            .map(|entry| {
+                entry
+                    .expect("an entry")
+                    .file_name()
+                    .to_string_lossy()
+                    .into_owned()
+            })
+            .collect();
+        names.sort();
+        names
+    };
+    if std::env::var_os("UPDATE_GENERATED").is_some() {
+        fs::create_dir_all(&committed).expect("created");
+        for name in names(made.path()) {
+            fs::copy(made.path().join(&name), committed.join(&name)).expect("copied");
+        }
+    }
+    assert_eq!(names(&committed), names(made.path()));
+    for name in names(&committed) {
+        let old = fs::read_to_string(committed.join(&name)).expect("read");
+        let new = fs::read_to_string(made.path().join(&name)).expect("read");
+        assert!(
+            old == new,
+            "{name}: run UPDATE_GENERATED=1 cargo test --test cli"
+        );
+    }
+}
+
+#[test]
+fn manual_page_of_one_command_is_printed() {
+    let page = stdout(&run(&["man", "accept"], ""));
     assert!(
-        text.contains("pool/p.service: service `s` does not exist"),
-        "{text}"
+        page.contains("sardinestall\\-accept") && page.contains("wait"),
+        "{page}"
     );
+    assert_eq!(run(&["man", "no-such"], "").status.code(), Some(1));
 }
