--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,109 @@
+//! Daemons in this process, on an embedded store, with their log kept.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use admin::{Client, TokenHash};
+use daemon::{
+    Daemon, FleetSettings, ListenSettings, LogSettings, OperatorSettings, Settings, StoreSettings,
+    UpstreamSettings, VmSettings,
+};
+use model::Secret;
+use slog::{Drain, Logger, o};
+use standin::Kv;
+
+/// Key of the fleet.
+pub(crate) const KEY: &str = "s3cret-fleet-key";
+
+/// Token of the operator of team `red`.
+pub(crate) const RED: &str = "s3cret-token-red";
+
+/// Token of the operator of team `blue`.
+pub(crate) const BLUE: &str = "s3cret-token-blue";
+
+/// Text that a log was written to.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl Written {
+    /// Returns what was written so far.
+    pub(crate) fn text(&self) -> String {
+        let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+impl Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut written = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        written.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns a log at the most detailed level, and what is written to it.
+pub(crate) fn log() -> (Logger, Written) {
+    let written = Written::default();
+    let json = Mutex::new(slog_json::Json::default(written.clone()));
+    (Logger::root(json.fuse(), o!()), written)
+}
+
+/// Returns the settings of the daemon on `vm`.
+pub(crate) fn settings(vm: &str) -> Settings {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let operator = |name: &str, team: &str, token: &str| OperatorSettings {
+        name: name.parse().expect("a name"),
+        teams: vec![team.parse().expect("a name")],
+        token_hash: TokenHash::of(token),
+    };
+    Settings {
+        vm: VmSettings {
+            id: vm.parse().expect("an id"),
+            failure_domain: "morava-a".parse().expect("a name"),
+            region: "cz-morava".parse().expect("a name"),
+        },
+        listen: ListenSettings {
+            caller: free,
+            gate: free,
+            fleet: free,
+            admin: free,
+            announce: free,
+        },
+        fleet: FleetSettings::with_key(Secret::new(KEY)),
+        store: StoreSettings { address: free },
+        upstream: UpstreamSettings::default(),
+        log: LogSettings::default(),
+        operators: vec![
+            operator("ruby", "red", RED),
+            operator("bella", "blue", BLUE),
+        ],
+    }
+}
+
+/// Starts a daemon on `kv`.
+pub(crate) async fn spawn(vm: &str, kv: &Kv, log: &Logger) -> Daemon {
+    let store = Arc::new(kv.clone());
+    let daemon = Daemon::spawn_on(settings(vm), store, log.clone()).await;
+    daemon.expect("the daemon starts")
+}
+
+/// Returns a client with `token`.
+pub(crate) fn client(daemon: &Daemon, token: &str) -> Client {
+    Client::open(daemon.addresses().admin, Some(Secret::new(token)))
+}
+
+/// Returns the printed configuration of `team`: a service, a pool and a route of that name.
+pub(crate) fn config(team: &str, timeout: &str) -> String {
+    format!(
+        r#"{{"format": 1, "teams": ["{team}"],
+        "services": [{{"name": "{team}", "team": "{team}"}}],
+        "pools": [{{"name": "{team}", "team": "{team}", "service": "{team}"}}],
+        "routes": [{{"name": "{team}", "team": "{team}", "hosts": ["{team}.example"],
+                     "path": {{"prefix": "/"}}, "to": [{{"pool": "{team}"}}],
+                     "rules": {{"timeout": "{timeout}"}}}}]}}"#
+    )
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -36,10 +36,13 @@
             routes[0].rules.timeout: `5` is not a valid time: write a whole number with a unit, such as `250ms`, `2s`, `5m` or `1h`; see docs/CONFIG.md for the format
         "#]],
     );
-    refused("{\"format\": 1, \"teams\": [\"t\"]", expect![[r#"
+    refused(
+        "{\"format\": 1, \"teams\": [\"t\"]",
+        expect![[r#"
         sardinestall: the configuration has problems; mend each:
         file: EOF while parsing an object at line 1 column 28; see docs/CONFIG.md for the format
-    "#]]);
+    "#]],
+    );
     refused(
         "{\"format\": 1, \"teams\": [\"t\"], \"pool\": []}",
         expect![[r#"
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 /// Runs the command with `input` on its standard input.
-pub fn run(args: &[&str], input: &str) -> Output {
+pub(crate) fn run(args: &[&str], input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_sardinestall"))
         .args(args)
         .env_clear()
@@ -21,11 +21,11 @@
 }
 
 /// Returns what the command wrote to standard output.
-pub fn stdout(output: &Output) -> String {
+pub(crate) fn stdout(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
 
 /// Returns what the command wrote to standard error.
-pub fn stderr(output: &Output) -> String {
+pub(crate) fn stderr(output: &Output) -> String {
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
