--- a/crates/admin/src/drain.rs
+++ b/crates/admin/src/drain.rs
@@ -3,7 +3,7 @@
 use axum::extract::rejection::PathRejection;
 use axum::extract::{Extension, Path, State};
 use http::StatusCode;
-use model::VmId;
+use model::{Key, Kind, ServiceName, TeamName, VmId};
 use slog::info;
 use spread::DrainError;
 
@@ -19,7 +19,7 @@
 ) -> Result<StatusCode, ErrorPage> {
     let operator = operator?;
     let Path(vm) = vm?;
-    api.check_drain(&operator, &vm)?;
+    api.check_drain(&operator, &vm).await?;
     let drained = api.node.drain(&vm).await;
     let result = match &drained {
         Ok(()) => "drains".to_owned(),
@@ -33,21 +33,33 @@
 
 impl Api {
     /// Checks that the upstream's service belongs to a team of the operator's.
-    fn check_drain(&self, operator: &Operator, vm: &VmId) -> Result<(), ErrorPage> {
+    ///
+    /// An upstream of a service that no team has configured takes no call, so anyone may drain it.
+    async fn check_drain(&self, operator: &Operator, vm: &VmId) -> Result<(), ErrorPage> {
         let record = self.table.members().get(vm);
         let Some(service) = record.and_then(|record| record.service) else {
             return Ok(());
         };
-        let snapshot = self.table.snapshot();
-        let pool = snapshot
-            .pools()
-            .iter()
-            .find(|pool| pool.service.name == service);
-        match pool {
-            Some(pool) => operator.check_teams(std::slice::from_ref(&pool.service.team)),
+        match self.owner(&service).await? {
+            Some(team) => operator.check_teams(&[team]),
             None => Ok(()),
         }
     }
+
+    /// Returns the team that owns a service, by the version in force or else by the newest.
+    async fn owner(&self, name: &ServiceName) -> Result<Option<TeamName>, ErrorPage> {
+        let snapshot = self.table.snapshot();
+        let mut services = snapshot.pools().iter().map(|pool| &pool.service);
+        if let Some(service) = services.find(|service| service.name == *name) {
+            return Ok(Some(service.team.clone()));
+        }
+        let key = Key {
+            kind: Kind::Service,
+            name: name.to_string(),
+        };
+        let tip = self.ledger.tip().await?;
+        Ok(tip.state.get(&key).map(|piece| piece.item.team().clone()))
+    }
 }
 
 impl From<DrainError> for ErrorPage {
--- a/crates/plan/src/brno.rs
+++ b/crates/plan/src/brno.rs
@@ -2,11 +2,14 @@
 
 use model::{PathMatch, Priority};
 
-use crate::{Plan, PlanError};
+use crate::{Plan, PlanError, ServiceRef};
 
 /// Host that editors and authors call.
 const HOST: &str = "redakce.brno.example";
 
+/// Calls that one upstream runs at once.
+const SLOTS: u32 = 12;
+
 /// Connections that one upstream takes.
 const CONNECTIONS: u32 = 130;
 
@@ -20,9 +23,9 @@
 /// Never: every name in it is valid.
 pub fn brno() -> Result<Plan, PlanError> {
     let mut plan = Plan::new("redakce")?;
-    let proofdesk = plan.service("proofdesk")?.connections(CONNECTIONS).add();
-    let decisions = plan.service("decisions")?.connections(CONNECTIONS).add();
-    let galleys = plan.service("galleys")?.connections(CONNECTIONS).add();
+    let proofdesk = service(&mut plan, "proofdesk")?;
+    let decisions = service(&mut plan, "decisions")?;
+    let galleys = service(&mut plan, "galleys")?;
     let proofs = plan.pool("proofs", &proofdesk)?;
     let notices = plan.pool("notices", &decisions)?;
     let status = plan.pool("galley-status", &galleys)?;
@@ -32,6 +35,7 @@
         .priority(Priority::High)
         .add();
     plan.route("figures", HOST, PathMatch::Prefix("/figures".into()))?
+        .method("GET")
         .method("PUT")
         .to(&proofs, 1)
         .timeout_ms(60_000)
@@ -50,3 +54,9 @@
         .add();
     Ok(plan)
 }
+
+/// Adds a service whose upstreams have the sizes of today.
+fn service(plan: &mut Plan, name: &str) -> Result<ServiceRef, PlanError> {
+    let service = plan.service(name)?;
+    Ok(service.slots(SLOTS).connections(CONNECTIONS).add())
+}
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -101,6 +101,24 @@
         Ok(PoolRef(name))
     }
 
+    /// Refers to a service of another team, which must exist when the plan is accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is not valid.
+    pub fn other_service(&self, name: &str) -> Result<ServiceRef, PlanError> {
+        Ok(ServiceRef(name.parse()?))
+    }
+
+    /// Refers to a pool of another team, which must exist when the plan is accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is not valid.
+    pub fn other_pool(&self, name: &str) -> Result<PoolRef, PlanError> {
+        Ok(PoolRef(name.parse()?))
+    }
+
     /// Begins a route of `host` for `path`.
     ///
     /// # Errors
--- a/crates/plan/src/tesfaye.rs
+++ b/crates/plan/src/tesfaye.rs
@@ -2,11 +2,14 @@
 
 use model::{PathMatch, Priority};
 
-use crate::{Plan, PlanError};
+use crate::{Plan, PlanError, ServiceRef};
 
 /// Host that pilgrims, stewards and families call.
 const HOST: &str = "tickets.tesfaye.example";
 
+/// Calls that one upstream runs at once.
+const SLOTS: u32 = 12;
+
 /// Connections that one upstream takes.
 const CONNECTIONS: u32 = 110;
 
@@ -20,9 +23,9 @@
 /// Never: every name in it is valid.
 pub fn tesfaye() -> Result<Plan, PlanError> {
     let mut plan = Plan::new("lanterns")?;
-    let routes = plan.service("fanos-routes")?.connections(CONNECTIONS).add();
-    let till = plan.service("fanos-till")?.connections(CONNECTIONS).add();
-    let gates = plan.service("fanos-gates")?.connections(CONNECTIONS).add();
+    let routes = service(&mut plan, "fanos-routes")?;
+    let till = service(&mut plan, "fanos-till")?;
+    let gates = service(&mut plan, "fanos-gates")?;
     let walks = plan.pool("walks", &routes)?;
     let bookings = plan.pool("bookings", &till)?;
     let passes = plan.pool("passes", &gates)?;
@@ -31,6 +34,7 @@
         .timeout_ms(3_000)
         .add();
     plan.route("banners", HOST, PathMatch::Prefix("/banners".into()))?
+        .method("GET")
         .method("PUT")
         .to(&walks, 1)
         .timeout_ms(60_000)
@@ -52,3 +56,9 @@
         .add();
     Ok(plan)
 }
+
+/// Adds a service whose upstreams have the sizes of today.
+fn service(plan: &mut Plan, name: &str) -> Result<ServiceRef, PlanError> {
+    let service = plan.service(name)?;
+    Ok(service.slots(SLOTS).connections(CONNECTIONS).add())
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::path::Path;
+use std::thread;
 
 use common::{run, stderr, stdout};
 use expect_test::{Expect, expect};
@@ -116,6 +119,40 @@
     assert_eq!(report["kind"], "unreachable");
 }
 
+/// Answers one call with `answer` as it is, and returns the address that it is answered at.
+fn answer_once(answer: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request).expect("a request");
+        stream.write_all(answer.as_bytes()).expect("answered");
+    });
+    address
+}
+
+#[test]
+fn lost_answer_of_an_accept_exits_with_4_and_names_the_accept_id() {
+    let args = ["accept", "-", "--accept-id", "lost-1", "--admin"];
+    let admin = answer_once("");
+    let lost = run(&[&args[..], &[&admin]].concat(), "{}");
+    assert_eq!(lost.status.code(), Some(4), "{}", stderr(&lost));
+    assert!(stderr(&lost).contains("repeat the command with --accept-id lost-1"));
+
+    let admin = answer_once(
+        "HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 59\r\n\r\n\
+         {\"kind\": \"unknown\", \"message\": \"unknown\", \"remedy\": \"wait\"}",
+    );
+    let unknown = run(&[&args[..], &[&admin]].concat(), "{}");
+    assert_eq!(unknown.status.code(), Some(4), "{}", stderr(&unknown));
+
+    // A call that changes nothing is only said to have failed.
+    let admin = answer_once("");
+    let lost = run(&["log", "--admin", &admin], "");
+    assert_eq!(lost.status.code(), Some(5), "{}", stderr(&lost));
+}
+
 #[test]
 fn help_lists_every_exit_code() {
     let help = stdout(&run(&["--help"], ""));
@@ -140,7 +177,7 @@
 
 #[test]
 fn daemon_refuses_an_address_in_use() {
-    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = taken.local_addr().expect("an address");
     let dir = tempfile::TempDir::new().expect("a directory");
     let path = dir.path().join("daemon.toml");
--- /dev/null
+++ b/tests/demo.rs
@@ -0,0 +1,230 @@
+//! The demo, with the commands of README.md as they are written there.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use bytes::Bytes;
+use harness::Caller;
+use http::Method;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
+use tokio::process::{Child, ChildStdout, Command};
+use tokio::time::timeout;
+
+/// Guard against a demo that hangs.
+const LIMIT: Duration = Duration::from_secs(120);
+
+/// Program as README.md names it.
+const PROGRAM: &str = "target/release/sardinestall";
+
+/// A running demo.
+struct Demo {
+    child: Child,
+    stdout: BufReader<ChildStdout>,
+    caller: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl Demo {
+    async fn spawn() -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sardinestall"))
+            .arg("demo")
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the demo starts");
+        let mut stdout = BufReader::new(child.stdout.take().expect("standard output"));
+        let mut line = String::new();
+        let read = timeout(LIMIT, stdout.read_line(&mut line)).await;
+        read.expect("ready in time").expect("a line");
+        let json = line.strip_prefix("ready ").expect("a ready line");
+        let ready: Value = serde_json::from_str(json).expect("JSON");
+        let address = |key: &str| {
+            let url = ready[key].as_str().expect("an address");
+            let address = url.strip_prefix("http://").expect("a URL");
+            address.parse().expect("an address")
+        };
+        Self {
+            caller: address("caller"),
+            admin: address("admin"),
+            child,
+            stdout,
+        }
+    }
+
+    /// Sends `signal` and checks for exit code 0 and no further line on standard output.
+    async fn stop(mut self, signal: Signal) {
+        let id = self.child.id().expect("the demo runs");
+        kill(Pid::from_raw(id as i32), signal).expect("signalled");
+        let status = timeout(LIMIT, self.child.wait()).await;
+        let status = status.expect("ends in time").expect("a status");
+        assert_eq!(status.code(), Some(0), "{status}");
+        let mut rest = String::new();
+        self.stdout.read_to_string(&mut rest).await.expect("read");
+        assert_eq!(rest, "");
+    }
+}
+
+/// Returns the indented lines of README.md that begin with one of `starts`.
+fn documented(starts: &[&str]) -> Vec<String> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("README.md");
+    let readme = std::fs::read_to_string(path).expect("read");
+    let lines = readme.lines().filter_map(|line| line.strip_prefix("    "));
+    let lines = lines.filter(|line| starts.iter().any(|start| line.starts_with(start)));
+    lines.map(str::to_owned).collect()
+}
+
+/// A call as `curl` makes it.
+#[derive(Debug, PartialEq)]
+struct Curl {
+    method: Method,
+    host: String,
+    path: String,
+    body: Bytes,
+}
+
+impl Curl {
+    /// Reads a documented command line.
+    fn parse(line: &str) -> Self {
+        // The quoted arguments are every second part.
+        let parts: Vec<&str> = line.split('\'').collect();
+        let quoted: Vec<&str> = parts.iter().skip(1).step_by(2).copied().collect();
+        let method = line
+            .split_once("-X ")
+            .map_or("GET", |(_, rest)| rest.split(' ').next().expect("a method"));
+        let (_, path) = line.split_once("$CALLER").expect("the caller's address");
+        Self {
+            method: method.parse().expect("a method"),
+            host: quoted[0].strip_prefix("Host: ").expect("a host").into(),
+            path: path.into(),
+            body: quoted
+                .get(1)
+                .map(|text| Bytes::from(text.to_string()))
+                .unwrap_or_default(),
+        }
+    }
+}
+
+async fn calls(demo: &Demo) {
+    let caller = Caller::default();
+    let lines = documented(&["curl "]);
+    assert!(lines.len() >= 6, "{lines:?}");
+    for line in lines {
+        let curl = Curl::parse(&line);
+        let answer = caller
+            .call(
+                demo.caller,
+                curl.method.clone(),
+                &curl.host,
+                &curl.path,
+                &[],
+                curl.body,
+            )
+            .await
+            .expect(&line);
+        assert!(answer.status.is_success(), "{line}: {answer:?}");
+        let body: Value = serde_json::from_slice(&answer.body).expect("a whole answer");
+        assert_eq!(body["path"], curl.path, "{line}");
+        assert_eq!(body["method"], curl.method.as_str(), "{line}");
+    }
+}
+
+/// Runs a documented command and returns its standard output.
+async fn shell(demo: &Demo, line: &str, dir: &Path) -> String {
+    let line = line.replace(PROGRAM, env!("CARGO_BIN_EXE_sardinestall"));
+    let line = line.replace("/tmp/", &format!("{}/", dir.display()));
+    let output = Command::new("sh")
+        .args(["-ec", &line])
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .env("SARDINESTALL_ADMIN", format!("http://{}", demo.admin))
+        .env("SARDINESTALL_TOKEN", "demo")
+        .output();
+    let output = timeout(LIMIT, output)
+        .await
+        .expect("ends in time")
+        .expect("runs");
+    let error = common::stderr(&output);
+    assert!(output.status.success(), "{line}: {error}");
+    common::stdout(&output)
+}
+
+#[tokio::test]
+async fn documented_calls_and_commands_work_until_interrupted() {
+    let demo = Demo::spawn().await;
+    calls(&demo).await;
+    let dir = tempfile::TempDir::new().expect("a directory");
+    let mut printed = String::new();
+    let lines = documented(&["sed ", &format!("{PROGRAM} ")]);
+    assert!(lines.len() >= 8, "{lines:?}");
+    for line in lines {
+        printed += &format!("$ {line}\n{}", shell(&demo, &line, dir.path()).await);
+    }
+    for part in [
+        "head: 1\n",
+        "no problems\n",
+        "accepted as version 2: route/proofs\n",
+        "    rules.timeout: \"5s\" -> \"8s\"\n",
+        "by demo",
+        "longer proofs [route/proofs]\n",
+        "accepted as version 3: route/proofs\n",
+        "upstream on VM morava-a-1 drains\n",
+    ] {
+        assert!(printed.contains(part), "{part}\n{printed}");
+    }
+    // A drained upstream leaves another one of its service.
+    calls(&demo).await;
+    demo.stop(Signal::SIGINT).await;
+}
+
+#[tokio::test]
+async fn documented_token_is_needed_and_terminate_stops_the_demo() {
+    let demo = Demo::spawn().await;
+    let admin = demo.admin.to_string();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let file = root
+        .join("schema/examples/tesfaye.json")
+        .display()
+        .to_string();
+    let refused = common::run(&["accept", &file, "--admin", &admin], "");
+    assert_eq!(
+        refused.status.code(),
+        Some(3),
+        "{}",
+        common::stderr(&refused)
+    );
+    let log = common::run(&["log", "--admin", &admin, "--json"], "");
+    let log: Value = serde_json::from_str(&common::stdout(&log)).expect("JSON");
+    assert_eq!(log.as_array().map(Vec::len), Some(1));
+    demo.stop(Signal::SIGTERM).await;
+}
+
+#[tokio::test]
+async fn interrupt_during_the_start_ends_with_0() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sardinestall"))
+        .arg("demo")
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the demo starts");
+    // The first line of the log says that the start is under way.
+    let mut line = String::new();
+    let mut stderr = BufReader::new(child.stderr.take().expect("standard error"));
+    let read = timeout(LIMIT, stderr.read_line(&mut line)).await;
+    read.expect("in time").expect("a line");
+    let id = child.id().expect("the demo runs");
+    kill(Pid::from_raw(id as i32), Signal::SIGINT).expect("signalled");
+    // The log must be read, or the demo would wait for it.
+    let mut rest = String::new();
+    stderr.read_to_string(&mut rest).await.expect("read");
+    let status = timeout(LIMIT, child.wait()).await.expect("ends in time");
+    assert_eq!(status.expect("a status").code(), Some(0));
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,253 @@
+//! The commands against a fleet of separate processes, while it changes and while it fails.
+
+mod common;
+
+use std::fs;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use harness::{Caller, Fleet, TOKEN, VmSpec, wait_until};
+use http::Method;
+use model::Version;
+use serde_json::Value;
+use standin::Faults;
+use tempfile::TempDir;
+use tokio::task::JoinSet;
+
+/// Longest wait for a condition that must come about.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Host of the example.
+const HOST: &str = "redakce.brno.example";
+
+/// VMs of the fleet: id, failure domain and service of the upstream.
+const VMS: &[(&str, &str, &str)] = &[
+    ("a-1", "morava-a", "proofdesk"),
+    ("a-2", "morava-a", "decisions"),
+    ("b-1", "morava-b", "proofdesk"),
+    ("b-2", "morava-b", "decisions"),
+];
+
+/// Changes accepted while calls run.
+const CHANGES: u64 = 8;
+
+/// Callers at each daemon.
+const CALLERS: usize = 2;
+
+/// Returns the example's configuration with another time-out of the proofs' route.
+fn config(seconds: u64) -> String {
+    let plan = plan::brno().expect("valid");
+    let printed = plan.to_json().expect("JSON");
+    let changed = format!("\"timeout\": \"{seconds}s\"");
+    printed.replacen("\"timeout\": \"5s\"", &changed, 1)
+}
+
+/// Starts the fleet without a configuration.
+async fn open(vms: &[(&str, &str, &str)]) -> Fleet {
+    let mut fleet = Fleet::open(&["redakce"]).await.expect("a store");
+    for (vm, domain, service) in vms {
+        let spec = VmSpec::new(vm, domain, "cz-morava");
+        let daemon = fleet.start_daemon(spec).await.expect("a daemon");
+        fleet
+            .start_upstream(daemon, service)
+            .await
+            .expect("an upstream");
+    }
+    fleet
+}
+
+/// Runs a command against the daemon at `daemon`, with the operator's token in a file.
+fn run(fleet: &Fleet, daemon: usize, args: &[&str], input: &str) -> std::process::Output {
+    let dir = TempDir::new().expect("a directory");
+    let token = dir.path().join("token");
+    fs::write(&token, format!("{TOKEN}\n")).expect("written");
+    let token = token.display().to_string();
+    let admin = fleet.daemons[daemon].admin.to_string();
+    let mut all = args.to_vec();
+    all.extend(["--admin", &admin, "--token-file", &token]);
+    common::run(&all, input)
+}
+
+/// Makes one call of each kind and returns the number of answered ones.
+async fn call_once(caller: &Caller, daemon: std::net::SocketAddr, round: usize) -> usize {
+    let proof = format!("/proofs/{round}");
+    let notice = format!("/notices/{round}");
+    for (method, path) in [(Method::GET, &proof), (Method::POST, &notice)] {
+        let answer = caller
+            .call(daemon, method, HOST, path, &[], Bytes::from_static(b"text"))
+            .await
+            .expect("a whole answer");
+        assert!(answer.status.is_success(), "{path}: {answer:?}");
+        let body: Value = serde_json::from_slice(&answer.body).expect("a whole answer");
+        assert_eq!(body["path"], path.as_str());
+    }
+    2
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_while_calls_run_moves_every_daemon_and_loses_no_call() {
+    let fleet = open(VMS).await;
+    let first = fleet
+        .accept(0, &config(5), &"accept-1".parse().expect("an id"))
+        .await;
+    let first = first.expect("accepted").version;
+    fleet.wait_serving(first, LIMIT).await.expect("in force");
+    let caller = Caller::default();
+    for daemon in &fleet.daemons {
+        for path in ["/proofs/0", "/notices/0"] {
+            wait_until("every route", LIMIT, async || {
+                let answer = caller.get(daemon.caller, HOST, path).await;
+                answer.is_ok_and(|answer| answer.status.is_success())
+            })
+            .await
+            .expect("an upstream");
+        }
+    }
+    let mut ran_before = 0;
+    for upstream in &fleet.upstreams {
+        ran_before += upstream.control.runs().await.expect("runs").len();
+    }
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut calls = JoinSet::new();
+    for daemon in &fleet.daemons {
+        for _ in 0..CALLERS {
+            let (address, stop) = (daemon.caller, Arc::clone(&stop));
+            calls.spawn(async move {
+                let caller = Caller::default();
+                let mut answered = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    answered += call_once(&caller, address, answered).await;
+                }
+                answered
+            });
+        }
+    }
+    let mut version = first;
+    for change in 1..=CHANGES {
+        // Each change is asked of another daemon.
+        let daemon = change as usize % fleet.daemons.len();
+        let args = ["accept", "-", "--reason", "a change", "--wait", "--json"];
+        let output = run(&fleet, daemon, &args, &config(5 + change));
+        assert_eq!(output.status.code(), Some(0), "{}", common::stderr(&output));
+        let accepted: Value = serde_json::from_str(&common::stdout(&output)).expect("JSON");
+        assert_eq!(accepted["version"], first.get() + change);
+        version = Version::new(first.get() + change);
+        fleet.wait_serving(version, LIMIT).await.expect("in force");
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut answered = 0;
+    while let Some(count) = calls.join_next().await {
+        // A lost call panics in its task.
+        answered += count.expect("no call was lost");
+    }
+    assert!(answered > 0);
+    let mut ran = 0;
+    for upstream in &fleet.upstreams {
+        ran += upstream.control.runs().await.expect("runs").len();
+    }
+    assert_eq!(ran - ran_before, answered, "each call ran exactly once");
+    let log = run(&fleet, 0, &["log", "--json"], "");
+    let log: Value = serde_json::from_str(&common::stdout(&log)).expect("JSON");
+    assert_eq!(log[0]["version"], version.get());
+    assert_eq!(log.as_array().map(Vec::len), Some(1 + CHANGES as usize));
+}
+
+#[tokio::test]
+async fn broken_file_changes_nothing() {
+    let fleet = open(&VMS[..1]).await;
+    let accepted = run(&fleet, 0, &["accept", "-", "--wait"], &config(5));
+    assert_eq!(
+        accepted.status.code(),
+        Some(0),
+        "{}",
+        common::stderr(&accepted)
+    );
+    let state = || {
+        let log = common::stdout(&run(&fleet, 0, &["log"], ""));
+        let show = common::stdout(&run(&fleet, 0, &["show"], ""));
+        (log, show)
+    };
+    let before = state();
+    let broken = config(6)
+        .replace("\"pool\": \"proofs\"", "\"pool\": \"gone\"")
+        .replace("\"/galleys\"", "\"galleys\"");
+    let refused = run(&fleet, 0, &["accept", "-"], &broken);
+    assert_eq!(refused.status.code(), Some(3));
+    let error = common::stderr(&refused);
+    for place in [
+        "routes[0].to[0].pool: ",
+        "routes[1].to[0].pool: ",
+        "routes[3].path: ",
+    ] {
+        assert!(error.contains(place), "{error}");
+    }
+    assert_eq!(state(), before);
+    let admin = fleet.daemons[0].admin.to_string();
+    let again = common::run(&["check", "-", "--admin", &admin], &broken);
+    assert_eq!(again.status.code(), Some(3));
+    // What `show` prints is accepted as it is, and changes nothing.
+    let same = run(&fleet, 0, &["accept", "-"], &before.1);
+    assert_eq!(common::stdout(&same), "nothing differs from version 1\n");
+}
+
+#[tokio::test]
+async fn paused_daemon_is_told_and_exits_with_6() {
+    let fleet = open(&VMS[..3]).await;
+    let accepted = run(&fleet, 0, &["accept", "-", "--wait"], &config(5));
+    assert_eq!(
+        accepted.status.code(),
+        Some(0),
+        "{}",
+        common::stderr(&accepted)
+    );
+    fleet.daemons[2].process.freeze().expect("frozen");
+    let args = ["accept", "-", "--wait", "--wait-limit", "1ms"];
+    let late = run(&fleet, 0, &args, &config(6));
+    assert_eq!(late.status.code(), Some(6), "{}", common::stderr(&late));
+    let error = common::stderr(&late);
+    assert!(error.contains("version 2 is accepted but"), "{error}");
+    assert!(error.contains("lagging: "), "{error}");
+    fleet.daemons[2].process.thaw().expect("thawed");
+    fleet
+        .wait_serving(Version::new(2), LIMIT)
+        .await
+        .expect("in force");
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_are_settled_by_the_accept_id() {
+    let fleet = open(&VMS[..1]).await;
+    // The answers to the change and to many repetitions of the swap are lost.
+    let faults = Faults {
+        lose_answers: u32::MAX,
+        ..Faults::default()
+    };
+    fleet.kv.control.set_faults(&faults).await.expect("set");
+    let args = ["accept", "-", "--accept-id", "lost-1"];
+    let lost = run(&fleet, 0, &args, &config(5));
+    let error = common::stderr(&lost);
+    fleet
+        .kv
+        .control
+        .set_faults(&Faults::default())
+        .await
+        .expect("set");
+    // A lost answer of the change itself moves no head, so nothing was accepted; a lost answer of
+    // the swap leaves it unknown.
+    assert!(matches!(lost.status.code(), Some(3 | 4)), "{error}");
+    let settled = run(&fleet, 0, &args, &config(5));
+    assert_eq!(
+        settled.status.code(),
+        Some(0),
+        "{}",
+        common::stderr(&settled)
+    );
+    let again = run(&fleet, 0, &args, &config(5));
+    assert_eq!(common::stdout(&again), common::stdout(&settled));
+    let log = run(&fleet, 0, &["log", "--json"], "");
+    let log: Value = serde_json::from_str(&common::stdout(&log)).expect("JSON");
+    assert_eq!(log.as_array().map(Vec::len), Some(1));
+}
