--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,13 +8,14 @@
 use call::{Announcement, Backend, Gate, Ingress, Metrics, Readiness, Server};
 use ledger::Ledger;
 use member::{Members, Record, UpstreamState};
-use model::{Incarnation, UnixMillis};
+use model::{Incarnation, UnixMillis, Version};
 use prometheus::Registry;
 use slog::{Logger, info, o};
 use spread::{Local, Node};
 use store::{GrpcStore, Store};
 use table::Table;
 use tokio::net::TcpListener;
+use tokio::sync::watch::Receiver;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -174,6 +175,7 @@
             log: log.clone(),
         };
         let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
+        tokio::spawn(log_versions(table.subscribe(), log.clone()));
         info!(log, "daemon started";
             "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
             "admin" => %addresses.admin, "announce" => %addresses.announce);
@@ -232,6 +234,14 @@
     }
 }
 
+/// Logs each version that is put in force, until the table is gone.
+async fn log_versions(mut versions: Receiver<Version>, log: Logger) {
+    while versions.changed().await.is_ok() {
+        let version = *versions.borrow_and_update();
+        info!(log, "version in force"; "version" => version.get());
+    }
+}
+
 /// Describes the upstream in this daemon's record.
 fn describe(record: &mut Record, announced: Option<&Announcement>) {
     let Some(announced) = announced else {
@@ -254,8 +264,8 @@
         counter: 0,
         state: UpstreamState::Absent,
         service: None,
-        gate: addresses.gate,
-        fleet: addresses.fleet,
+        gate: settings.listen.advertise_gate.unwrap_or(addresses.gate),
+        fleet: settings.listen.advertise_fleet.unwrap_or(addresses.fleet),
         domain: settings.vm.failure_domain.clone(),
         region: settings.vm.region.clone(),
         slots: 0,
--- a/crates/daemon/src/settings/listen.rs
+++ b/crates/daemon/src/settings/listen.rs
@@ -18,6 +18,10 @@
     pub admin: SocketAddr,
     /// Announcements of the upstream beside this daemon.
     pub announce: SocketAddr,
+    /// Address at which others reach the gate, where it is not the one listened on.
+    pub advertise_gate: Option<SocketAddr>,
+    /// Address at which others reach the fleet port, where it is not the one listened on.
+    pub advertise_fleet: Option<SocketAddr>,
 }
 
 const fn local(port: u16) -> SocketAddr {
@@ -32,6 +36,8 @@
             fleet: local(7402),
             admin: local(7403),
             announce: local(7404),
+            advertise_gate: None,
+            advertise_fleet: None,
         }
     }
 }
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -34,6 +34,10 @@
     pub settings: String,
     /// Lines added to section `fleet` of the daemon's settings.
     pub fleet: String,
+    /// Lines added to section `listen` of the daemon's settings.
+    pub listen: String,
+    /// Address of the key-value service where it is not the fleet's own, such as that of a cut.
+    pub store: Option<SocketAddr>,
 }
 
 impl VmSpec {
@@ -45,6 +49,8 @@
             region: region.into(),
             settings: String::new(),
             fleet: String::new(),
+            listen: String::new(),
+            store: None,
         }
     }
 }
@@ -59,6 +65,19 @@
     announce: SocketAddr,
 }
 
+impl Default for DaemonReady {
+    fn default() -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            caller: free,
+            gate: free,
+            fleet: free,
+            admin: free,
+            announce: free,
+        }
+    }
+}
+
 /// Addresses of a stand-in, as its ready line says.
 #[derive(Debug, Clone, Copy, Deserialize)]
 struct StandinReady {
@@ -158,15 +177,7 @@
     ///
     /// Fails if the daemon does not become ready.
     pub async fn start_daemon(&mut self, spec: VmSpec) -> Result<usize, Error> {
-        let path = self.write_settings(&spec)?;
-        let log = File::create(self.dir.path().join(format!("{}.log", spec.vm)))?;
-        let args = [
-            "daemon".into(),
-            "--settings".into(),
-            path.display().to_string(),
-        ];
-        let (process, ready) =
-            Process::spawn::<DaemonReady>("sardinestall", &args, Some(log)).await?;
+        let (process, ready) = self.spawn_daemon(&spec, DaemonReady::default()).await?;
         self.daemons.push(DaemonProcess {
             spec,
             process,
@@ -179,6 +190,41 @@
         Ok(self.daemons.len() - 1)
     }
 
+    /// Starts the daemon at `daemon`, which has ended, again on the same VM and addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not become ready.
+    pub async fn restart_daemon(&mut self, daemon: usize) -> Result<(), Error> {
+        let old = &self.daemons[daemon];
+        let addresses = DaemonReady {
+            caller: old.caller,
+            gate: old.gate,
+            fleet: old.fleet,
+            admin: old.admin,
+            announce: old.announce,
+        };
+        let (process, _) = self.spawn_daemon(&old.spec, addresses).await?;
+        self.daemons[daemon].process = process;
+        Ok(())
+    }
+
+    async fn spawn_daemon(
+        &self,
+        spec: &VmSpec,
+        addresses: DaemonReady,
+    ) -> Result<(Process, DaemonReady), Error> {
+        let path = self.write_settings(spec, addresses)?;
+        let log = self.dir.path().join(format!("{}.log", spec.vm));
+        let log = File::options().create(true).append(true).open(log)?;
+        let args = [
+            "daemon".into(),
+            "--settings".into(),
+            path.display().to_string(),
+        ];
+        Process::spawn::<DaemonReady>("sardinestall", &args, Some(log)).await
+    }
+
     /// Starts an upstream of `service` beside the daemon at `daemon`; returns its position.
     ///
     /// # Errors
@@ -244,7 +290,7 @@
         fs::read_to_string(path).unwrap_or_default()
     }
 
-    fn write_settings(&self, spec: &VmSpec) -> Result<PathBuf, Error> {
+    fn write_settings(&self, spec: &VmSpec, addresses: DaemonReady) -> Result<PathBuf, Error> {
         let teams: Vec<String> = self
             .teams
             .iter()
@@ -255,15 +301,21 @@
         let _ = write!(
             toml,
             "[vm]\nid = \"{}\"\nfailure_domain = \"{}\"\nregion = \"{}\"\n\n\
-             [listen]\ncaller = \"127.0.0.1:0\"\ngate = \"127.0.0.1:0\"\n\
-             fleet = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nannounce = \"127.0.0.1:0\"\n\n\
+             [listen]\ncaller = \"{}\"\ngate = \"{}\"\nfleet = \"{}\"\n\
+             admin = \"{}\"\nannounce = \"{}\"\n{}\n\n\
              [fleet]\nkey = \"harness-fleet\"\n{}\n\n[store]\naddress = \"{}\"\n\n\
              [[operators]]\nname = \"harness\"\nteams = [{}]\ntoken_hash = \"{}\"\n{}\n",
             spec.vm,
             spec.domain,
             spec.region,
+            addresses.caller,
+            addresses.gate,
+            addresses.fleet,
+            addresses.admin,
+            addresses.announce,
+            spec.listen,
             spec.fleet,
-            self.kv.address,
+            spec.store.unwrap_or(self.kv.address),
             teams.join(", "),
             TokenHash::of(TOKEN),
             spec.settings,
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -108,6 +108,15 @@
     ///
     /// Fails if the operating system does.
     pub async fn kill(mut self) -> Result<(), Error> {
+        self.end().await
+    }
+
+    /// Kills the process where it stands and waits for its end; does nothing if it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does.
+    pub async fn end(&mut self) -> Result<(), Error> {
         Ok(self.child.kill().await?)
     }
 
@@ -117,6 +126,15 @@
     ///
     /// Fails if the process has ended already or does not end in `limit`.
     pub async fn stop(mut self, limit: Duration) -> Result<ExitStatus, Error> {
+        self.interrupt(limit).await
+    }
+
+    /// Interrupts the process, as a planned stop, and waits for its end; its place stays.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended already or does not end in `limit`.
+    pub async fn interrupt(&mut self, limit: Duration) -> Result<ExitStatus, Error> {
         self.signal(Signal::SIGINT)?;
         match timeout(limit, self.child.wait()).await {
             Ok(status) => Ok(status?),
--- /dev/null
+++ b/crates/proof/src/chaos.rs
@@ -0,0 +1,1 @@
+//! Randomised runs.
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -73,7 +73,7 @@
         local: Arc<dyn Local>,
         log: Logger,
     ) -> Result<Self, SpawnError> {
-        let address = listener.local_addr()?;
+        let address = table.members().own().fleet;
         let key = KeyCheck {
             key: settings.key.clone(),
         };
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -142,6 +142,7 @@
             fleet: free,
             admin: free,
             announce: free,
+            ..ListenSettings::default()
         },
         fleet: FleetSettings::with_key(Secret::new(FLEET_KEY)),
         store: StoreSettings { address: free },
