Run randomised faults from a seed against recorded histories

Cause: scenarios show the failures that were thought of. Herds of kills and restarts, freezes over the lease, cuts, outages, lost answers, drains and planned stops are drawn together from a seed.

--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -8,9 +8,11 @@
 mod client;
 mod config;
 mod history;
+mod schedule;
 mod view;
 mod world;
 
+pub use chaos::{ChaosReport, run as run_chaos};
 pub use check::{Rule, Violation, check};
 pub use client::{Agent, Kind};
 pub use config::{HOST, print, service_of};
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -189,6 +189,7 @@
     /// Fails if there is none.
     pub async fn kill(&mut self, vm: &str) -> Result<(), Error> {
         let daemon = self.find(vm)?;
+        self.forget_drain(vm);
         self.begin_fault("kill", vm);
         self.fleet.daemons[daemon].process.end().await?;
         self.lives[daemon] = Life::Ended;
