--- a/crates/daemon/tests/security.rs
+++ b/crates/daemon/tests/security.rs
@@ -203,7 +203,8 @@
     let caller = Caller::default();
     for headers in [
         vec![],
-        vec![("sardinestall-key", "wrong"), ("authorization", "wrong")],
+        vec![("sardinestall-fleet-key", "")],
+        vec![("sardinestall-fleet-key", "wrong")],
     ] {
         let answer = caller
             .call(
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -251,3 +251,42 @@
     let log: Value = serde_json::from_str(&common::stdout(&log)).expect("JSON");
     assert_eq!(log.as_array().map(Vec::len), Some(1));
 }
+
+#[tokio::test]
+async fn daemon_started_while_the_store_is_out_takes_the_version_from_its_seeds() {
+    let mut fleet = open(&VMS[..1]).await;
+    let accepted = run(&fleet, 0, &["accept", "-", "--wait"], &config(5));
+    assert_eq!(
+        accepted.status.code(),
+        Some(0),
+        "{}",
+        common::stderr(&accepted)
+    );
+    let faults = Faults {
+        down: true,
+        ..Faults::default()
+    };
+    fleet.kv.control.set_faults(&faults).await.expect("set");
+
+    let mut spec = VmSpec::new("b-1", "morava-b", "cz-morava");
+    spec.fleet = format!("seeds = [\"{}\"]", fleet.daemons[0].fleet);
+    fleet.start_daemon(spec).await.expect("a daemon");
+    fleet
+        .wait_serving(Version::new(1), LIMIT)
+        .await
+        .expect("in force");
+
+    let refused = run(&fleet, 1, &["accept", "-"], &config(6));
+    assert_eq!(
+        refused.status.code(),
+        Some(3),
+        "{}",
+        common::stderr(&refused)
+    );
+    let status = run(&fleet, 1, &["status"], "");
+    let status = common::stdout(&status);
+    assert!(
+        status.contains("head: unknown, the store is out"),
+        "{status}"
+    );
+}
