Report every problem of form in an item, not only its first

Cause: an item was read as a whole, so its first bad value hid the others. A part that cannot be read is now taken out and the rest read again; reading into a lenient copy of each type was ruled out, as the types would stand twice. In the test's file 7 problems are named where 4 were.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types shared by every crate: names, units, the configuration format and its versions.
 
 mod change;
+mod collect;
 mod config;
 mod digest;
 mod name;
--- a/crates/model/src/parse.rs
+++ b/crates/model/src/parse.rs
@@ -4,6 +4,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::collect::{self, Fault};
 use crate::{Config, FORMAT, Problem, Problems, TeamName, Version};
 
 /// A configuration whose items have not been read yet, so that each can fail alone.
@@ -29,8 +30,13 @@
 /// Returns every problem of form; references between items are checked by [`crate::validate`].
 pub fn parse(json: &[u8]) -> Result<Config, Problems> {
     let mut reader = serde_json::Deserializer::from_slice(json);
-    let raw: RawConfig = serde_path_to_error::deserialize(&mut reader)
-        .map_err(|error| Problems(vec![path_problem("", &error)]))?;
+    let raw: RawConfig = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let fault = Fault {
+            path: error.path().to_string(),
+            message: error.inner().to_string(),
+        };
+        Problems(vec![describe("", fault)])
+    })?;
     if let Err(error) = reader.end() {
         return Err(Problems(vec![Problem::new(
             "file",
@@ -68,29 +74,24 @@
 ) -> Vec<T> {
     let mut items = Vec::with_capacity(values.len());
     for (i, value) in values.into_iter().enumerate() {
-        match serde_path_to_error::deserialize(value) {
+        match collect::read(value) {
             Ok(item) => items.push(item),
-            Err(error) => problems.push(path_problem(&format!("{list}[{i}]"), &error)),
+            Err(faults) => {
+                let prefix = format!("{list}[{i}]");
+                problems.extend(faults.into_iter().map(|fault| describe(&prefix, fault)));
+            }
         }
     }
     items
 }
 
-/// Describes a failed read at the path where it failed.
-fn path_problem(
-    prefix: &str,
-    error: &serde_path_to_error::Error<impl std::fmt::Display>,
-) -> Problem {
-    let path = error.path().to_string();
-    let place = match (prefix, path.as_str()) {
+/// Describes a part that cannot be read, below `prefix`.
+fn describe(prefix: &str, fault: Fault) -> Problem {
+    let place = match (prefix, fault.path.as_str()) {
         ("", "." | "?") => "file".to_owned(),
         ("", path) => path.to_owned(),
         (prefix, ".") => prefix.to_owned(),
         (prefix, path) => format!("{prefix}.{path}"),
     };
-    Problem::new(
-        place,
-        error.inner().to_string(),
-        "see docs/CONFIG.md for the format",
-    )
+    Problem::new(place, fault.message, "see docs/CONFIG.md for the format")
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -29,14 +29,18 @@
             "services": [{"name": "S!", "team": "t", "slots": -1}],
             "pools": [{"name": "p", "team": "t", "service": "s", "colour": "red"}],
             "routes": [{"name": "r", "team": "t", "hosts": ["*"], "path": {"prefix": "/"},
-                        "to": [{"pool": "p"}], "rules": {"timeout": "5"}}]
+                        "to": [{"pool": "p", "weight": -1}],
+                        "rules": {"timeout": "5", "retries": "x"}}]
         }"#,
         expect![[r#"
             sardinestall: the configuration has problems; mend each:
             format: format 2 is not known; write format 1
             services[0].name: `S!` is not a valid service name: use 1 to 63 of a-z, 0-9, `-`, `_` and `.`; see docs/CONFIG.md for the format
+            services[0].slots: invalid value: integer `-1`, expected u32; see docs/CONFIG.md for the format
             pools[0].colour: unknown field `colour`, expected one of `name`, `team`, `service`, `domains`; see docs/CONFIG.md for the format
+            routes[0].rules.retries: invalid type: string "x", expected u32; see docs/CONFIG.md for the format
             routes[0].rules.timeout: `5` is not a valid time: write a whole number with a unit, such as `250ms`, `2s`, `5m` or `1h`; see docs/CONFIG.md for the format
+            routes[0].to[0].weight: invalid value: integer `-1`, expected u32; see docs/CONFIG.md for the format
         "#]],
     );
     refused(
