--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -66,11 +66,18 @@
         }
     }
     // Other daemons reach these two by the address in this daemon's record.
-    for (key, address) in [("gate", listen.gate), ("fleet", listen.fleet)] {
+    let advertised = [
+        ("gate", listen.advertise_gate.unwrap_or(listen.gate)),
+        ("fleet", listen.advertise_fleet.unwrap_or(listen.fleet)),
+    ];
+    for (key, address) in advertised {
         if address.ip().is_unspecified() {
             problems.push(SettingsProblem::new(
                 format!("listen.{key}"),
-                format!("other daemons cannot connect to {address}; write the VM's own IP address"),
+                format!(
+                    "other daemons cannot connect to {address}; write the VM's own IP address, or \
+                     give it as `listen.advertise_{key}`"
+                ),
             ));
         }
     }
