--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch::Receiver;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{Settings, SpawnError};
 
@@ -218,7 +218,8 @@
         self.announce.stop();
         let mut cut = self.ingress.stop(self.stop_limit).await;
         cut += self.gate.stop(self.stop_limit).await;
-        self.node.stop().await;
+        // A peer that stands still would keep its link, and with it the stop, open for ever.
+        let _ = timeout(self.stop_limit, self.node.stop()).await;
         self.admin.stop();
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
--- a/crates/proof/src/bin/chaos.rs
+++ b/crates/proof/src/bin/chaos.rs
@@ -103,6 +103,9 @@
     for violation in &report.violations {
         println!("  {violation}");
     }
+    if logs {
+        println!("{}", report.schedule);
+    }
     for log in report.logs.iter().filter(|_| logs) {
         println!("{log}");
     }
--- a/crates/proof/src/chaos.rs
+++ b/crates/proof/src/chaos.rs
@@ -37,6 +37,8 @@
     pub seed: u64,
     /// Faults injected.
     pub faults: usize,
+    /// What was injected and when, one action a line.
+    pub schedule: String,
     /// What was recorded.
     pub history: History,
     /// Rules broken.
@@ -75,6 +77,7 @@
     Ok(ChaosReport {
         seed,
         faults: schedule.faults,
+        schedule: schedule.to_string(),
         history,
         violations,
         logs,
@@ -119,12 +122,15 @@
         Action::Restart(vm) => world.restart(vm).await,
         Action::Freeze(vm) => world.freeze(vm),
         Action::Thaw(vm) => world.thaw(vm),
-        Action::Stop(vm) => world.stop(vm).await.map(drop),
+        Action::Stop(vm) => world.begin_stop(vm),
         Action::Cut(vm, place) => world.cut(vm, *place),
         Action::Heal(vm, place) => world.heal(vm, *place),
         Action::Store(fault) => world.store(|faults| fault.set(faults)).await,
-        // A drain may be refused while other faults are present; then there is nothing to hold.
-        Action::Drain(vm) => Ok(world.drain(vm, vm).await.unwrap_or_default()),
+        Action::Drain(vm) => {
+            // A drain may be refused while other faults are present; then there is nothing to hold.
+            let _ = world.drain(vm, vm).await;
+            Ok(())
+        }
     }
 }
 
--- a/crates/proof/src/history.rs
+++ b/crates/proof/src/history.rs
@@ -163,8 +163,10 @@
 /// A fault that may end calls without a planned stop's doing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fault {
-    /// What was done, and to whom.
-    pub what: String,
+    /// What was done.
+    pub what: &'static str,
+    /// VM that it was done to.
+    pub vm: String,
     /// When it began.
     pub start: Moment,
     /// When it was over.
--- a/crates/proof/src/schedule.rs
+++ b/crates/proof/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Which faults a randomised run injects, and when; a function of its seed.
 
+use std::fmt;
+
 use model::Millis;
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -96,6 +98,15 @@
     pub(crate) faults: usize,
 }
 
+impl fmt::Display for Schedule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, action) in &self.actions {
+            writeln!(f, "{at} ms: {action:?}")?;
+        }
+        Ok(())
+    }
+}
+
 /// A VM that is under a fault.
 struct Busy {
     vm: &'static str,
--- a/crates/proof/tests/scenarios.rs
+++ b/crates/proof/tests/scenarios.rs
@@ -354,13 +354,17 @@
     bad_version_is_not_applied
     converges_and_never_reverts
     drain_receives_no_new_work
+    drain_survives_a_frozen_daemon
     lost_answer_is_settled
     notice_runs_at_most_once
     not_run_is_true
     racing_operators
+    refused_retry_is_not_reported_as_not_run
     relay_wakes_with_lapsed_lease
     restart_keeps_the_floor
     route_without_upstream_comes_alive
     stop_cuts_nothing
+    stop_while_peers_stand_still
+    stop_while_the_store_is_cut_off
     store_outage
 }
