--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::counted::CountedStore;
 use crate::{Settings, SpawnError};
 
 /// Time between announcing the stop and refusing calls, so that others hear of it first.
@@ -141,6 +142,7 @@
         let addresses = listeners.addresses()?;
         let registry = Registry::new();
         let metrics = Metrics::open(&registry)?;
+        let store: Arc<dyn Store> = Arc::new(CountedStore::open(store, &registry)?);
         let members = Arc::new(Members::open(own_record(&settings, &addresses)));
         let table = Arc::new(Table::open(members));
         let ledger = Arc::new(Ledger::open(Arc::clone(&store)));
@@ -161,6 +163,7 @@
         let ingress = Ingress::open(
             Arc::clone(&table),
             settings.vm.failure_domain.clone(),
+            settings.vm.region.clone(),
             key,
             metrics,
             log.clone(),
@@ -171,6 +174,7 @@
             table: Arc::clone(&table),
             node: Arc::clone(&node),
             operators: Arc::new(Operators(operators)),
+            metrics: admin::Metrics::open(&registry)?,
             registry,
             log: log.clone(),
         };
@@ -215,12 +219,13 @@
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         sleep(LEAVE_PAUSE).await;
-        self.announce.stop();
+        self.announce.stop(self.stop_limit).await;
         let mut cut = self.ingress.stop(self.stop_limit).await;
         cut += self.gate.stop(self.stop_limit).await;
+        // An accept in flight is answered before the distribution ends.
+        self.admin.stop(self.stop_limit).await;
         // A peer that stands still would keep its link, and with it the stop, open for ever.
         let _ = timeout(self.stop_limit, self.node.stop()).await;
-        self.admin.stop();
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
     }
