--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -155,6 +155,7 @@
             }),
             log.clone(),
         )?);
+        node.register(&registry)?;
         let key = settings.fleet.key.clone();
         let gate = Gate::open(Arc::clone(&backend), key.clone(), metrics.clone());
         let ingress = Ingress::open(
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,7 +1,9 @@
 //! Membership: one record for each daemon, written by that daemon alone and merged by all.
 
+mod buckets;
 mod members;
 mod record;
 
-pub use members::{LinkId, Members, Sequence};
+pub use buckets::{BucketIndex, Buckets};
+pub use members::{LinkId, MAX_RECORDS, Members, RETENTION, Sequence};
 pub use record::{Record, RecordError, UpstreamState};
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -4,11 +4,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use model::{ServiceName, VmId};
+use model::{DomainName, ServiceName, VmId};
 use tokio::sync::watch;
 
-use crate::{Record, UpstreamState};
+use crate::{BucketIndex, Buckets, Record, UpstreamState};
+
+/// Most records kept: twice the fleet that the system is designed for.
+pub const MAX_RECORDS: usize = 34_000;
+
+/// Time that the record of a daemon that left or expired is kept, so that an older record of it,
+/// which a part of the fleet may still hold, is known to be older.
+pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// Position in the order in which this process learned of records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -24,9 +32,14 @@
     record: Record,
     sequence: Sequence,
     link: LinkId,
+    /// When the record may be dropped; absent while the daemon lives.
+    drop_at: Option<Instant>,
 }
 
-/// Records under one lock. Holds one slot for each VM, so its size is bounded by the fleet's.
+/// Records under one lock, one slot for each VM.
+///
+/// At [`MAX_RECORDS`] a record of an unknown VM takes the place of one that left or expired, and
+/// is refused when there is none.
 #[derive(Debug, Default)]
 struct Inner {
     slots: BTreeMap<VmId, Slot>,
@@ -34,6 +47,7 @@
     order: BTreeMap<Sequence, VmId>,
     /// VMs by the service of their record.
     services: BTreeMap<ServiceName, BTreeSet<VmId>>,
+    buckets: Buckets,
     last: Sequence,
 }
 
@@ -64,7 +78,7 @@
         let mut inner = self.lock();
         let mut news = Vec::new();
         for mut record in records {
-            if inner.is_old(&record) {
+            if inner.is_old(&record) || !inner.make_room(&record.vm) {
                 continue;
             }
             let mut from = link;
@@ -122,11 +136,15 @@
     /// Returns all records.
     pub fn all(&self) -> Vec<Record> {
         let inner = self.lock();
-        inner
-            .slots
-            .values()
-            .map(|slot| slot.record.clone())
-            .collect()
+        let slots = inner.slots.values();
+        slots.map(|slot| slot.record.clone()).collect()
+    }
+
+    /// Returns the number of daemons that have neither left nor expired.
+    pub fn live(&self) -> usize {
+        let inner = self.lock();
+        let slots = inner.slots.values();
+        slots.filter(|slot| slot.record.is_alive()).count()
     }
 
     /// Returns the records of `service`, in the order of their VMs.
@@ -153,19 +171,79 @@
         others.map(|record| record.fleet).collect()
     }
 
-    /// Returns the records learned after `from`, but for those that came over `link`, and the
-    /// sequence to ask from next.
-    pub fn since(&self, from: Sequence, link: LinkId) -> (Vec<Record>, Sequence) {
+    /// Returns the records learned after `from`, but for those that came over a link that `skip`
+    /// names, and the sequence to ask from next.
+    pub fn since(&self, from: Sequence, skip: impl Fn(LinkId) -> bool) -> (Vec<Record>, Sequence) {
         let inner = self.lock();
         let after = Sequence(from.0 + 1);
         let slots = inner.order.range(after..).map(|(_, vm)| &inner.slots[vm]);
         let records = slots
-            .filter(|slot| slot.link != link || link == LinkId::default())
+            .filter(|slot| slot.link == LinkId::default() || !skip(slot.link))
             .map(|slot| slot.record.clone())
             .collect();
         (records, inner.last)
     }
 
+    /// Returns the live records of `domain` whose newest version came over `link`.
+    pub fn from_link(&self, link: LinkId, domain: &DomainName) -> Vec<Record> {
+        let inner = self.lock();
+        let slots = inner.slots.values().filter(|slot| {
+            slot.link == link && slot.record.domain == *domain && slot.record.is_alive()
+        });
+        slots.map(|slot| slot.record.clone()).collect()
+    }
+
+    /// Returns the live records of `domain`.
+    pub fn of_domain(&self, domain: &DomainName) -> Vec<Record> {
+        let inner = self.lock();
+        let records = inner.slots.values().map(|slot| &slot.record);
+        let live = records.filter(|record| record.domain == *domain && record.is_alive());
+        live.cloned().collect()
+    }
+
+    /// Returns the digests of the live records.
+    pub fn buckets(&self) -> Buckets {
+        self.lock().buckets.clone()
+    }
+
+    /// Returns the failure domains that have live records.
+    pub fn domains(&self) -> BTreeSet<DomainName> {
+        let inner = self.lock();
+        let records = inner.slots.values().map(|slot| &slot.record);
+        let live = records.filter(|record| record.is_alive());
+        live.map(|record| record.domain.clone()).collect()
+    }
+
+    /// Returns the sequence of the newest record.
+    pub fn last(&self) -> Sequence {
+        self.lock().last
+    }
+
+    /// Returns the records in `buckets`.
+    pub fn in_buckets(&self, buckets: &BTreeSet<BucketIndex>) -> Vec<Record> {
+        let inner = self.lock();
+        let records = inner.slots.values().map(|slot| &slot.record);
+        let inside = records.filter(|record| buckets.contains(&BucketIndex::of(&record.vm)));
+        inside.cloned().collect()
+    }
+
+    /// Drops the records of daemons that left or expired longer than [`RETENTION`] ago.
+    pub fn sweep(&self, now: Instant) {
+        let mut inner = self.lock();
+        let mut dropped = Vec::new();
+        for (vm, slot) in &mut inner.slots {
+            if slot.record.is_alive() || *vm == self.own {
+                continue;
+            }
+            if *slot.drop_at.get_or_insert(now + RETENTION) <= now {
+                dropped.push(vm.clone());
+            }
+        }
+        for vm in dropped {
+            inner.remove(&vm);
+        }
+    }
+
     /// Returns a receiver that sees each newer sequence.
     pub fn subscribe(&self) -> watch::Receiver<Sequence> {
         self.changed.subscribe()
@@ -177,11 +255,25 @@
 }
 
 impl Inner {
-    /// Returns whether `record` is no news.
+    /// Returns whether `record` is no news; the end of an unknown daemon is none.
     fn is_old(&self, record: &Record) -> bool {
-        self.slots
-            .get(&record.vm)
-            .is_some_and(|slot| record.order(&slot.record) != Ordering::Greater)
+        match self.slots.get(&record.vm) {
+            Some(slot) => record.order(&slot.record) != Ordering::Greater,
+            None => !record.is_alive(),
+        }
+    }
+
+    /// Returns whether there is room for a record of `vm`, after dropping one that ended.
+    fn make_room(&mut self, vm: &VmId) -> bool {
+        if self.slots.len() < MAX_RECORDS || self.slots.contains_key(vm) {
+            return true;
+        }
+        let ended = self.slots.iter().find(|(_, slot)| !slot.record.is_alive());
+        let Some(ended) = ended.map(|(vm, _)| vm.clone()) else {
+            return false;
+        };
+        self.remove(&ended);
+        true
     }
 
     /// Returns the record with which this daemon answers another's word about itself.
@@ -198,32 +290,34 @@
     }
 
     fn set(&mut self, record: Record, link: LinkId) {
+        self.remove(&record.vm);
         self.last = Sequence(self.last.0 + 1);
-        let sequence = self.last;
-        let vm = record.vm.clone();
-        let service = record.service.clone();
+        self.buckets.toggle(&record);
+        self.order.insert(self.last, record.vm.clone());
+        if let Some(service) = &record.service {
+            let vms = self.services.entry(service.clone()).or_default();
+            vms.insert(record.vm.clone());
+        }
         let slot = Slot {
-            record,
-            sequence,
+            sequence: self.last,
             link,
+            drop_at: None,
+            record,
         };
-        if let Some(old) = self.slots.insert(vm.clone(), slot) {
-            self.order.remove(&old.sequence);
-            self.unlist(&old.record);
-        }
-        if let Some(service) = service {
-            self.services.entry(service).or_default().insert(vm.clone());
-        }
-        self.order.insert(sequence, vm);
+        self.slots.insert(slot.record.vm.clone(), slot);
     }
 
-    /// Takes `record` out of the index by service.
-    fn unlist(&mut self, record: &Record) {
-        let Some(service) = &record.service else {
+    fn remove(&mut self, vm: &VmId) {
+        let Some(old) = self.slots.remove(vm) else {
+            return;
+        };
+        self.order.remove(&old.sequence);
+        self.buckets.toggle(&old.record);
+        let Some(service) = &old.record.service else {
             return;
         };
         if let Some(vms) = self.services.get_mut(service) {
-            vms.remove(&record.vm);
+            vms.remove(vm);
             if vms.is_empty() {
                 self.services.remove(service);
             }
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -1,6 +1,8 @@
 //! Merging of membership records.
 
-use member::{LinkId, Members, Record, UpstreamState};
+use std::time::Duration;
+
+use member::{LinkId, MAX_RECORDS, Members, RETENTION, Record, UpstreamState};
 use model::Incarnation;
 
 const LINK: LinkId = LinkId(1);
@@ -41,3 +43,92 @@
     members.merge(vec![record("a-1", "galleys", 1)], LINK);
     assert_eq!(vms(&members, "proofdesk"), ["a-1"]);
 }
+
+fn expired(mut record: Record) -> Record {
+    record.expired = true;
+    record
+}
+
+/// Brings both tables to the same content, as a comparison of peers does.
+fn exchange(one: &Members, two: &Members) {
+    let differing = one.buckets().differing(&two.buckets());
+    let buckets = differing.into_iter().collect();
+    two.merge(one.in_buckets(&buckets), LINK);
+    one.merge(two.in_buckets(&buckets), LINK);
+}
+
+#[test]
+fn regions_that_parted_agree_after_one_exchange() {
+    let one = Members::open(record("a-0", "galleys", 1));
+    let two = Members::open(record("b-0", "galleys", 1));
+    exchange(&one, &two);
+    assert_eq!(one.buckets().root(), two.buckets().root());
+
+    // While parted, each side takes the other for dead, and a daemon joins on either side.
+    one.expire(&"b-0".parse().expect("a valid id"));
+    two.expire(&"a-0".parse().expect("a valid id"));
+    one.merge(vec![record("a-1", "galleys", 1)], LINK);
+    two.merge(vec![record("b-1", "galleys", 1)], LINK);
+    assert_ne!(one.buckets().root(), two.buckets().root());
+
+    // Each daemon answers its own expiry; a second exchange carries the answers.
+    exchange(&one, &two);
+    exchange(&one, &two);
+    assert_eq!(one.buckets(), two.buckets());
+    assert_eq!(vms(&one, "galleys"), ["a-0", "a-1", "b-0", "b-1"]);
+    assert!(one.all().iter().all(Record::is_alive));
+    assert!(two.all().iter().all(Record::is_alive));
+}
+
+#[test]
+fn ended_record_is_kept_for_its_retention_and_beats_older_ones_until_then() {
+    let members = Members::open(record("a-0", "galleys", 1));
+    members.merge(vec![record("a-1", "galleys", 1)], LINK);
+    members.merge(vec![expired(record("a-1", "galleys", 1))], LINK);
+    let now = std::time::Instant::now();
+    members.sweep(now);
+    members.sweep(now + RETENTION - Duration::from_secs(1));
+    members.merge(vec![record("a-1", "galleys", 1)], LINK);
+    let vm = "a-1".parse().expect("a valid id");
+    assert!(members.get(&vm).is_some_and(|record| record.expired));
+
+    members.sweep(now + RETENTION);
+    assert_eq!(members.get(&vm), None);
+    // The end of a daemon that is not known any more is no news, and a later start is.
+    assert!(
+        members
+            .merge(vec![expired(record("a-1", "galleys", 1))], LINK)
+            .is_empty()
+    );
+    let mut restarted = record("a-1", "galleys", 1);
+    restarted.incarnation = Incarnation::new(2);
+    assert_eq!(members.merge(vec![restarted], LINK).len(), 1);
+}
+
+#[test]
+fn digests_do_not_depend_on_whether_an_ended_record_was_dropped() {
+    let members = Members::open(record("a-0", "galleys", 1));
+    let before = members.buckets();
+    members.merge(vec![record("a-1", "galleys", 1)], LINK);
+    assert_ne!(members.buckets(), before);
+    members.merge(vec![expired(record("a-1", "galleys", 1))], LINK);
+    assert_eq!(members.buckets(), before);
+}
+
+#[test]
+fn full_table_takes_a_new_vm_only_for_an_ended_one() {
+    let members = Members::open(record("a-0", "galleys", 1));
+    let fill = (1..MAX_RECORDS).map(|i| record(&format!("a-{i}"), "galleys", 1));
+    members.merge(fill.collect(), LINK);
+    assert!(
+        members
+            .merge(vec![record("b-1", "galleys", 1)], LINK)
+            .is_empty()
+    );
+    members.merge(vec![expired(record("a-7", "galleys", 1))], LINK);
+    assert_eq!(
+        members.merge(vec![record("b-1", "galleys", 1)], LINK).len(),
+        1
+    );
+    assert_eq!(members.all().len(), MAX_RECORDS);
+}
--- a/crates/spread/src/codec.rs
+++ b/crates/spread/src/codec.rs
@@ -3,14 +3,28 @@
 use std::sync::Arc;
 
 use member::Record;
-use model::{Digest, Item, State, Version};
+use model::{Change, Digest, Item, State, Version};
 use slog::{Logger, warn};
 use table::{ApplyError, Table, Whole};
 use wire::fleet;
 
+use crate::pack::{pack, unpack};
+
+/// Records from which on a message is compressed.
+const MIN_PACKED_RECORDS: usize = 16;
+
 /// Returns the records on the wire that can be read, and logs the others.
-pub(crate) fn records(log: &Logger, records: Vec<fleet::Record>) -> Vec<Record> {
-    let read = records.into_iter().filter_map(|record| {
+pub(crate) fn records(log: &Logger, records: Option<fleet::Records>) -> Vec<Record> {
+    let Some(mut records) = records else {
+        return Vec::new();
+    };
+    if !records.packed.is_empty() {
+        match unpack(&records.packed) {
+            Ok(unpacked) => records = unpacked,
+            Err(error) => warn!(log, "records ignored"; "error" => %error),
+        }
+    }
+    let read = records.plain.into_iter().filter_map(|record| {
         Record::try_from(record)
             .inspect_err(|error| warn!(log, "record ignored"; "error" => %error))
             .ok()
@@ -18,9 +32,58 @@
     read.collect()
 }
 
-/// Returns `records` for the wire.
-pub(crate) fn to_wire(records: &[Record]) -> Vec<fleet::Record> {
-    records.iter().map(fleet::Record::from).collect()
+/// Returns `records` for the wire; `None` if there are none.
+pub(crate) fn to_wire(records: &[Record]) -> Option<fleet::Records> {
+    if records.is_empty() {
+        return None;
+    }
+    let plain = fleet::Records {
+        plain: records.iter().map(fleet::Record::from).collect(),
+        packed: Vec::new(),
+    };
+    if records.len() < MIN_PACKED_RECORDS {
+        return Some(plain);
+    }
+    match pack(&plain) {
+        Ok(packed) => Some(fleet::Records {
+            plain: Vec::new(),
+            packed,
+        }),
+        Err(_) => Some(plain),
+    }
+}
+
+/// A version in force and the digest of its change.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Mark {
+    pub(crate) version: Version,
+    pub(crate) digest: Digest,
+}
+
+impl Mark {
+    /// Returns what `table` has in force.
+    pub(crate) fn of(table: &Table) -> Self {
+        let snapshot = table.snapshot();
+        Self {
+            version: snapshot.version,
+            digest: snapshot.digest,
+        }
+    }
+
+    pub(crate) fn from_wire(mark: Option<fleet::Mark>) -> Self {
+        let mark = mark.unwrap_or_default();
+        Self {
+            version: Version::new(mark.version),
+            digest: Digest::from_slice(&mark.digest).unwrap_or(Digest::ZERO),
+        }
+    }
+
+    pub(crate) fn to_wire(self) -> fleet::Mark {
+        fleet::Mark {
+            version: self.version.get(),
+            digest: self.digest.as_bytes().to_vec(),
+        }
+    }
 }
 
 /// What brings a daemon from one version to the newest.
@@ -31,21 +94,42 @@
 }
 
 impl Update {
-    /// Returns what a daemon at `version` with `digest` lacks: the changes, or the whole state.
-    pub(crate) fn after(table: &Table, version: Version, digest: Digest) -> Self {
-        if let Some(changes) = table.since(version, digest) {
-            let changes = changes.iter().map(|bytes| bytes.to_vec()).collect();
-            return Self {
-                changes,
-                state: None,
-            };
-        }
+    /// Returns whether there is nothing in it.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.changes.is_empty() && self.state.is_none()
+    }
+
+    /// Returns the changes that a daemon at `mark` lacks, if they are all at hand.
+    pub(crate) fn changes_after(table: &Table, mark: Mark) -> Option<Self> {
+        let changes = table.since(mark.version, mark.digest)?;
+        Some(Self {
+            changes: changes.iter().map(|bytes| bytes.to_vec()).collect(),
+            state: None,
+        })
+    }
+
+    /// Returns a whole state.
+    pub(crate) fn of_state(state: Option<fleet::WholeState>) -> Self {
         Self {
             changes: Vec::new(),
-            state: table.whole().map(|whole| whole_to_wire(&whole)),
+            state,
         }
     }
 
+    /// Returns the version that the update leads to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be read.
+    pub(crate) fn version(&self) -> Result<Option<Version>, ApplyError> {
+        let state = self.state.as_ref().map(|state| &state.change);
+        let Some(last) = self.changes.last().or(state) else {
+            return Ok(None);
+        };
+        let change = Change::from_bytes(last).map_err(unreadable)?;
+        Ok(Some(change.version))
+    }
+
     /// Puts what came over the wire in force.
     pub(crate) fn apply(self, table: &Table) -> Result<(), ApplyError> {
         if let Some(state) = self.state {
@@ -58,19 +142,23 @@
     }
 }
 
-fn whole_to_wire(whole: &Whole) -> fleet::WholeState {
+/// Returns `whole` for the wire.
+pub(crate) fn whole_to_wire(whole: &Whole) -> std::io::Result<fleet::WholeState> {
     let items = whole.state.pieces().map(|(_, piece)| piece.to_json());
-    fleet::WholeState {
-        change: whole.change.to_vec(),
+    let items = fleet::Items {
         items: items.collect(),
-    }
+    };
+    Ok(fleet::WholeState {
+        change: whole.change.to_vec(),
+        packed: pack(&items)?,
+    })
 }
 
 fn whole_from_wire(state: fleet::WholeState) -> Result<Whole, ApplyError> {
-    let mut items = Vec::with_capacity(state.items.len());
-    for json in &state.items {
-        let item: Item = serde_json::from_slice(json)
-            .map_err(|error| ApplyError::Unreadable(error.to_string()))?;
+    let unpacked: fleet::Items = unpack(&state.packed).map_err(unreadable)?;
+    let mut items = Vec::with_capacity(unpacked.items.len());
+    for json in &unpacked.items {
+        let item: Item = serde_json::from_slice(json).map_err(unreadable)?;
         items.push(item);
     }
     Ok(Whole {
@@ -78,3 +166,7 @@
         state: State::from_items(items),
     })
 }
+
+fn unreadable(error: impl std::fmt::Display) -> ApplyError {
+    ApplyError::Unreadable(error.to_string())
+}
--- a/crates/spread/src/follow.rs
+++ b/crates/spread/src/follow.rs
@@ -12,46 +12,101 @@
 use crate::hub::Hub;
 use crate::link::{self, End, Place};
 use crate::relay::{self, Claim};
+use crate::{floor, relays::Relays};
 
-/// Mean pause between two searches for a parent, in milliseconds.
-const SEARCH_PAUSE_MS: u64 = 300;
+/// Mean pause before a daemon that lost its parent looks for another one.
+const LOST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Mean pause after the first search that found no parent; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest mean pause between two searches.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
 
 /// Daemons asked in one search.
 const MAX_ASKED: usize = 16;
 
+/// Daemons of the same failure domain that one search begins with, beside relays and seeds.
+const MAX_NEAR: usize = 4;
+
+/// How a search for a parent ended.
+enum Search {
+    /// A parent was followed, and is lost now.
+    Lost,
+    /// The parent asked this daemon to take a relay's duty.
+    Appointed,
+    /// There was no parent to follow; come back to those asked after this time.
+    None(Duration),
+}
+
 /// Follows one parent after the other until the daemon stops.
 pub(crate) async fn run(hub: Arc<Hub>) {
-    while !hub.stop.is_cancelled() {
-        match relay::claim(&hub).await {
-            Ok(Claim::Held(duty)) => {
-                duty.run(&hub).await;
-                hub.path.send_replace(Vec::new());
-                continue;
+    let mut mean = FIRST_PAUSE;
+    while !hub.retire.is_cancelled() {
+        let found = step(&hub).await;
+        hub.path.send_replace(Vec::new());
+        let pause = match found {
+            Search::Lost | Search::Appointed => {
+                mean = FIRST_PAUSE;
+                LOST_PAUSE
             }
-            Ok(Claim::Others(relays)) => search(&hub, relays).await,
-            Err(error) => {
-                debug!(hub.log, "store not reached"; "error" => %error);
-                search(&hub, Vec::new()).await;
+            Search::None(retry) => {
+                let pause = mean.max(retry);
+                mean = (mean * 2).min(MAX_PAUSE);
+                pause
             }
-        }
-        hub.path.send_replace(Vec::new());
-        let jitter = rand::rng().random_range(0..=SEARCH_PAUSE_MS * 2);
+        };
+        let jitter = rand::rng().random_range(0.5..1.5);
         tokio::select! {
-            () = sleep(Duration::from_millis(jitter)) => {}
-            () = hub.stop.cancelled() => {}
+            () = sleep(pause.mul_f64(jitter)) => {}
+            () = hub.stop.cancelled() => return,
+        }
+    }
+}
+
+/// Follows a known daemon; asks the store for the relays only if none takes this one in.
+async fn step(hub: &Arc<Hub>) -> Search {
+    let own = hub.relays.borrow().inside(&hub.settings.domain);
+    match search(hub, candidates(hub, own), Place::Tree).await {
+        Search::Appointed => {}
+        Search::Lost => return Search::Lost,
+        Search::None(_) if hub.retire.is_cancelled() => return Search::Lost,
+        Search::None(_) => {}
+    }
+    match relay::claim(hub).await {
+        Ok(Claim::Held(duty)) => {
+            duty.run(hub).await;
+            Search::Lost
+        }
+        Ok(Claim::Others(relays)) => search(hub, relays.into(), Place::Tree).await,
+        Err(error) => {
+            debug!(hub.log, "store not reached"; "error" => %error);
+            let relays: Relays = hub.relays.borrow().clone();
+            let mut others = relays.outside(&hub.settings.domain);
+            others.shuffle(&mut rand::rng());
+            search(hub, others.into(), Place::Guest).await
         }
     }
 }
 
 /// Asks one daemon after the other until one takes this one in, and follows it to the end.
-async fn search(hub: &Hub, relays: Vec<String>) {
-    let mut queue = candidates(hub, relays);
+async fn search(hub: &Hub, mut queue: VecDeque<String>, place: Place) -> Search {
+    let mut pause = Duration::ZERO;
     for _ in 0..MAX_ASKED {
         let Some(address) = queue.pop_front() else {
-            return;
+            break;
         };
-        match link::run(hub, &address, Place::Tree).await {
-            End::Busy(mut others) => {
+        if hub.floor.get().is_none()
+            && let Err(status) = floor::learn(hub, &address).await
+        {
+            debug!(hub.log, "version floor not known"; "from" => &address, "error" => status.message());
+            // What it sent could not be put in force.
+            continue;
+        }
+        match link::run(hub, &address, place).await {
+            End::Appointed => return Search::Appointed,
+            End::Busy { mut others, retry } => {
+                pause = pause.max(retry);
                 others.shuffle(&mut rand::rng());
                 for other in others {
                     queue.push_front(other);
@@ -61,13 +116,14 @@
                 info!(hub.log, "parent lost"; "parent" => address, "reason" => reason);
                 // A newer record tells the old parent that this daemon is alive.
                 hub.table.announce(|_| {});
-                return;
+                return Search::Lost;
             }
             End::Failed(reason) => {
                 debug!(hub.log, "parent refused"; "parent" => address, "reason" => reason);
             }
         }
     }
+    Search::None(pause)
 }
 
 /// Returns whom to ask: relays, then known daemons of the same failure domain, then seeds.
@@ -80,6 +136,7 @@
         .addresses(|record| record.domain == hub.settings.domain && record.is_alive());
     let mut near: Vec<String> = near.iter().map(ToString::to_string).collect();
     near.shuffle(&mut rng);
+    near.truncate(MAX_NEAR);
     let mut seeds: Vec<String> = hub.settings.seeds.iter().map(ToString::to_string).collect();
     seeds.shuffle(&mut rng);
     let own = hub.address.to_string();
--- a/crates/spread/src/hub.rs
+++ b/crates/spread/src/hub.rs
@@ -1,6 +1,5 @@
 //! What the tasks of the distribution share.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,18 +7,28 @@
 
 use ledger::Ledger;
 use member::LinkId;
-use model::VmId;
-use slog::Logger;
+use model::{Version, VmId};
+use slog::{Logger, info};
 use store::Store;
-use table::Table;
-use tokio::sync::watch;
+use table::{ApplyError, Table};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tonic::metadata::{Ascii, MetadataValue};
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Request, Status};
+use wire::fleet::WholeState;
 use wire::fleet::fleet_client::FleetClient;
 
-use crate::{Counts, Settings};
+use crate::Settings;
+use crate::children::Children;
+use crate::codec::{Update, whole_to_wire};
+use crate::counts::{Lag, Report};
+use crate::floor::Floor;
+use crate::guard::Guard;
+use crate::join::JoinLimit;
+use crate::relays::Relays;
+use crate::traffic::Traffic;
 
 /// Longest wait for a connection to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -27,16 +36,19 @@
 /// Largest message between daemons, in bytes: a whole state at the design size with room to grow.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
-/// A daemon that follows this one.
-#[derive(Debug)]
-pub(crate) struct Child {
-    /// Its fleet address.
-    pub(crate) address: String,
-    /// Daemons below it, itself among them, by version.
-    pub(crate) counts: Counts,
+/// Whole states sent to children at once.
+const MAX_TRANSFERS: usize = 4;
+
+/// Set in the ids of links between relays.
+const MESH_BIT: u64 = 1 << 63;
+
+/// Returns whether a link is one between relays.
+pub(crate) fn is_mesh(link: LinkId) -> bool {
+    link.0 & MESH_BIT != 0
 }
 
-/// What the tasks of the distribution share. The lock on `children` is taken last.
+/// What the tasks of the distribution share. `packed` is taken before the lock of the table; no
+/// other lock in it is held while another one is taken.
 #[derive(Debug)]
 pub(crate) struct Hub {
     pub(crate) settings: Settings,
@@ -46,12 +58,30 @@
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) log: Logger,
+    /// Cancelled when a planned stop begins: the duty is handed over.
+    pub(crate) retire: CancellationToken,
+    /// Cancelled when the links end.
     pub(crate) stop: CancellationToken,
     /// VMs from the relay down to this daemon; empty while it is below no relay.
     pub(crate) path: watch::Sender<Vec<VmId>>,
-    /// Changes whenever the counts below this daemon do.
-    pub(crate) counted: watch::Sender<u64>,
-    children: Mutex<BTreeMap<u64, Child>>,
+    /// Fleet address of the daemon that this one follows.
+    pub(crate) parent: watch::Sender<Option<String>>,
+    /// Until when this daemon surely holds a relay's lease; `None` while it has no duty.
+    pub(crate) duty: watch::Sender<Option<Instant>>,
+    /// The relays of the fleet.
+    pub(crate) relays: watch::Sender<Relays>,
+    /// Changes whenever the report of this daemon does.
+    pub(crate) reported: watch::Sender<u64>,
+    /// Link to the child that is asked to take a relay's duty.
+    pub(crate) appointed: watch::Sender<Option<LinkId>>,
+    pub(crate) children: Children,
+    pub(crate) floor: Floor,
+    pub(crate) transfers: Arc<Semaphore>,
+    pub(crate) traffic: Traffic,
+    joins: Mutex<JoinLimit>,
+    guard: Mutex<Guard>,
+    packed: Mutex<Option<(Version, WholeState)>>,
+    trouble: Mutex<Option<String>>,
     links: AtomicU64,
 }
 
@@ -62,6 +92,7 @@
         table: Arc<Table>,
         ledger: Arc<Ledger>,
         store: Arc<dyn Store>,
+        traffic: Traffic,
         log: Logger,
     ) -> Self {
         Self {
@@ -71,56 +102,144 @@
             ledger,
             store,
             log,
+            retire: CancellationToken::new(),
             stop: CancellationToken::new(),
             path: watch::Sender::new(Vec::new()),
-            counted: watch::Sender::new(0),
-            children: Mutex::default(),
+            parent: watch::Sender::new(None),
+            duty: watch::Sender::new(None),
+            relays: watch::Sender::new(Relays::default()),
+            reported: watch::Sender::new(0),
+            appointed: watch::Sender::new(None),
+            children: Children::default(),
+            floor: Floor::default(),
+            transfers: Arc::new(Semaphore::new(MAX_TRANSFERS)),
+            traffic,
+            joins: Mutex::new(JoinLimit::new(Instant::now())),
+            guard: Mutex::default(),
+            packed: Mutex::default(),
+            trouble: Mutex::default(),
             links: AtomicU64::new(1),
         }
     }
 
     /// Returns an id for a new link.
-    pub(crate) fn new_link(&self) -> LinkId {
-        LinkId(self.links.fetch_add(1, Ordering::Relaxed))
+    pub(crate) fn new_link(&self, mesh: bool) -> LinkId {
+        let id = self.links.fetch_add(1, Ordering::Relaxed);
+        LinkId(if mesh { id | MESH_BIT } else { id })
+    }
+
+    /// Returns whether this daemon has a relay's duty.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.duty.borrow().is_some()
+    }
+
+    /// Returns whether this daemon knows its floor and has reached it.
+    pub(crate) fn is_ready(&self) -> bool {
+        let floor = self.floor.get();
+        floor.is_some_and(|floor| self.table.snapshot().version >= floor)
+    }
+
+    /// Takes over newer knowledge of the relays.
+    pub(crate) fn learn_relays(&self, relays: Relays) {
+        self.relays.send_if_modified(|known| {
+            let newer = relays.revision > known.revision;
+            if newer {
+                *known = relays;
+            }
+            newer
+        });
+    }
+
+    /// Puts in force what another daemon sent, unless it lies below the floor.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the update cannot be put in force.
+    pub(crate) fn offer(&self, update: Update) -> Result<(), ApplyError> {
+        if !self.is_ready() {
+            let Some(floor) = self.floor.get() else {
+                return Ok(());
+            };
+            if update.version()? < Some(floor) {
+                return Ok(());
+            }
+        }
+        update.apply(&self.table)
     }
 
-    /// Returns the daemons by version at and below this one.
-    pub(crate) fn counts(&self) -> Counts {
-        let mut sum = Counts::default();
-        sum.add(self.table.snapshot().version, 1);
-        for child in self.children().values() {
-            sum.merge(&child.counts);
+    /// Returns the version in force, whole and compressed.
+    pub(crate) fn whole(&self) -> Option<WholeState> {
+        let version = self.table.snapshot().version;
+        let mut packed = self.packed.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, whole)) = packed.as_ref().filter(|(packed, _)| *packed == version) {
+            return Some(whole.clone());
         }
-        sum
+        let whole = whole_to_wire(&self.table.whole()?).ok()?;
+        *packed = Some((version, whole.clone()));
+        Some(whole)
     }
 
-    /// Takes a child in if there is room; otherwise returns the addresses of the children.
-    pub(crate) fn admit(&self, link: LinkId, child: Child) -> Result<(), Vec<String>> {
-        let mut children = self.children();
-        if children.len() >= self.settings.fanout {
-            return Err(children
-                .values()
-                .map(|child| child.address.clone())
-                .collect());
+    /// Returns what this daemon and those below it serve, and which of them lag.
+    pub(crate) fn report(&self) -> Report {
+        let version = self.table.snapshot().version;
+        let mut report = Report::default();
+        report.counts.add(version, 1);
+        if let Some(reason) = self.own_trouble() {
+            report.lags.push(Lag {
+                vm: self.settings.vm.clone(),
+                version,
+                reason,
+            });
         }
-        children.insert(link.0, child);
-        drop(children);
-        self.touch_counts();
-        Ok(())
+        self.children.add_to(&mut report, version, Instant::now());
+        report
+    }
+
+    /// Tells the parent that the report has changed.
+    pub(crate) fn touch_report(&self) {
+        self.reported.send_modify(|count| *count += 1);
+        self.traffic.children.set(self.children.len() as i64);
+    }
+
+    /// Notes why this daemon does not serve the newest version, until the next one is in force.
+    pub(crate) fn set_trouble(&self, reason: &str) {
+        *lock(&self.trouble) = Some(reason.into());
+        self.touch_report();
+    }
+
+    /// Forgets why this daemon did not serve the newest version.
+    pub(crate) fn clear_trouble(&self) {
+        *lock(&self.trouble) = None;
     }
 
-    /// Replaces the counts of a child.
-    pub(crate) fn count(&self, link: LinkId, counts: Counts) {
-        if let Some(child) = self.children().get_mut(&link.0) {
-            child.counts = counts;
+    fn own_trouble(&self) -> Option<String> {
+        if !self.is_ready() {
+            return Some("it has not reached its version floor since its start".into());
         }
-        self.touch_counts();
+        lock(&self.trouble).clone()
+    }
+
+    /// Admits a daemon that wants to join.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which there is room for it.
+    pub(crate) fn admit_join(&self) -> Result<(), Duration> {
+        lock(&self.joins).admit(Instant::now())
+    }
+
+    /// Returns whether `lost` daemons, of `known`, that were lost together may be expired.
+    pub(crate) fn may_expire(&self, lost: usize, known: usize) -> bool {
+        lock(&self.guard).admits(lost, known, Instant::now())
     }
 
-    /// Forgets a child.
-    pub(crate) fn dismiss(&self, link: LinkId) {
-        self.children().remove(&link.0);
-        self.touch_counts();
+    /// Asks a child in this failure domain to take a vacant relay's duty.
+    pub(crate) fn appoint(&self) {
+        let Some(link) = self.children.random(&self.settings.domain) else {
+            return;
+        };
+        info!(self.log, "child asked to take a relay's duty");
+        self.appointed.send_replace(Some(link));
     }
 
     /// Returns a client for the daemon at `address`. Connects on first use.
@@ -150,12 +269,8 @@
         request.metadata_mut().insert("authorization", value);
         Ok(request)
     }
+}
 
-    fn touch_counts(&self) {
-        self.counted.send_modify(|count| *count += 1);
-    }
-
-    fn children(&self) -> MutexGuard<'_, BTreeMap<u64, Child>> {
-        self.children.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/spread/src/mesh.rs
+++ b/crates/spread/src/mesh.rs
@@ -1,53 +1,145 @@
 //! Links between relays, over which membership crosses failure domains.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use model::DomainName;
+use rand::RngExt;
+use slog::{info, warn};
+use store::{Changes, Revision};
 use tokio::task::JoinSet;
-use tokio::time::interval;
+use tokio::time::{Instant, sleep};
 
 use crate::hub::Hub;
 use crate::link::{self, Place};
+use crate::relays::{PREFIX, Relays};
 
-/// Time between two looks at which relays there are.
-const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// Most relays of the whole fleet.
-const MAX_RELAYS: u32 = 256;
+/// Pause after a failed call to the store.
+const STORE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Keeps one link to each relay with a lower address; those with a higher one keep theirs to this.
+/// Pause before a lost link is tried again.
+const LINK_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time without any relay after which a failure domain is taken for lost.
+const DOMAIN_GRACE: Duration = Duration::from_secs(60);
+
+/// Longest random wait before a child is asked to fill a vacant place.
+const MAX_APPOINT_WAIT_MS: u64 = 400;
+
+/// What a relay knows of the other relays.
+#[derive(Debug, Default)]
+struct Mesh {
+    /// Addresses by key.
+    known: BTreeMap<String, String>,
+    links: JoinSet<String>,
+    linked: BTreeSet<String>,
+    /// Failure domains that have daemons but no relay, and since when.
+    empty: BTreeMap<DomainName, Instant>,
+}
+
+/// Watches the relays, and keeps one link to each with a lower address; those with a higher one
+/// keep theirs to this.
 pub(crate) async fn run(hub: &Arc<Hub>) {
-    let own = hub.address.to_string();
-    let mut ticks = interval(LOOK_INTERVAL);
-    let mut links: JoinSet<String> = JoinSet::new();
-    let mut linked: BTreeMap<String, ()> = BTreeMap::new();
+    let mut mesh = Mesh::default();
+    let mut after = Revision(0);
     loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            Some(ended) = links.join_next() => {
-                if let Ok(address) = ended {
-                    linked.remove(&address);
-                }
+        let changes = tokio::select! {
+            changes = hub.store.watch(PREFIX, after, WATCH_WAIT) => changes,
+            Some(ended) = mesh.links.join_next() => {
+                mesh.unlink(ended.unwrap_or_default());
+                mesh.link(hub);
                 continue;
             }
-        }
-        let Ok(entries) = hub.store.list("relay/", "", MAX_RELAYS).await else {
+        };
+        let Ok(changes) = changes else {
+            sleep(STORE_PAUSE).await;
             continue;
         };
-        for entry in entries {
-            let Ok(address) = String::from_utf8(entry.value) else {
-                continue;
-            };
-            if address >= own || linked.contains_key(&address) {
+        after = changes.revision;
+        mesh.take(changes);
+        hub.learn_relays(Relays::new(after, &mesh.known));
+        mesh.link(hub);
+        mesh.expire_domains(hub);
+        mesh.fill(hub);
+    }
+}
+
+impl Mesh {
+    fn take(&mut self, changes: Changes) {
+        for key in &changes.deleted {
+            self.known.remove(key);
+        }
+        for entry in changes.entries {
+            if let Ok(address) = String::from_utf8(entry.value) {
+                self.known.insert(entry.key, address);
+            }
+        }
+    }
+
+    /// Begins the links that are missing.
+    fn link(&mut self, hub: &Arc<Hub>) {
+        let own = hub.address.to_string();
+        for address in self.known.values().filter(|address| **address < own) {
+            if !self.linked.insert(address.clone()) {
                 continue;
             }
-            linked.insert(address.clone(), ());
             let hub = Arc::clone(hub);
-            links.spawn(async move {
+            let address = address.clone();
+            self.links.spawn(async move {
                 link::run(&hub, &address, Place::Mesh).await;
+                sleep(LINK_PAUSE).await;
                 address
             });
         }
     }
+
+    fn unlink(&mut self, address: String) {
+        self.linked.remove(&address);
+    }
+
+    /// Expires the daemons of failure domains that have had no relay for long.
+    ///
+    /// All their daemons are lost then, and none of them is left to expire the others. One that
+    /// lives answers its expiry.
+    fn expire_domains(&mut self, hub: &Hub) {
+        let members = hub.table.members();
+        let with_relay = hub.relays.borrow().domains();
+        let mut without = members.domains();
+        without.retain(|domain| !with_relay.contains(domain));
+        self.empty.retain(|domain, _| without.contains(domain));
+        let now = Instant::now();
+        for domain in without {
+            let since = *self.empty.entry(domain.clone()).or_insert(now);
+            if now.duration_since(since) < DOMAIN_GRACE {
+                continue;
+            }
+            warn!(hub.log, "failure domain without relay; its daemons are expired"; "domain" => %domain);
+            for record in members.of_domain(&domain) {
+                hub.table.expire(&record.vm);
+            }
+        }
+    }
+
+    /// Asks a child to take a vacant place of this failure domain.
+    fn fill(&self, hub: &Arc<Hub>) {
+        let prefix = format!("{PREFIX}{}/", hub.settings.domain);
+        let own = self.known.keys().filter(|key| key.starts_with(&prefix));
+        if own.count() as u32 >= hub.settings.relays {
+            return;
+        }
+        info!(hub.log, "a relay's place is vacant");
+        let wait = rand::rng().random_range(0..=MAX_APPOINT_WAIT_MS);
+        let seen = hub.relays.borrow().revision;
+        let hub = Arc::clone(hub);
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(wait)).await;
+            if hub.relays.borrow().revision == seen {
+                hub.appoint();
+            }
+        });
+    }
 }
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -2,15 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ledger::Ledger;
 use model::VmId;
-use slog::Logger;
+use prometheus::Registry;
+use slog::{Logger, info};
 use store::Store;
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use tonic::transport::Server as GrpcServer;
 use tonic::transport::server::TcpIncoming;
 use wire::fleet::DrainRequest;
@@ -18,7 +21,11 @@
 
 use crate::hub::{Hub, MAX_MESSAGE_BYTES};
 use crate::server::{KeyCheck, Server};
-use crate::{Counts, Settings, Summary, follow, repair};
+use crate::traffic::Traffic;
+use crate::{Counts, Lag, Settings, Summary, follow, repair};
+
+/// Longest wait until the duty is handed over.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Most relays of the whole fleet.
 const MAX_SUMMARIES: u32 = 256;
@@ -29,6 +36,9 @@
     /// The listener has no address.
     #[error("the fleet port has no address ({0}); check `listen.fleet`")]
     Address(#[from] std::io::Error),
+    /// The metrics are not valid.
+    #[error("the metrics are not valid ({0}); this is a fault of the program")]
+    Metrics(#[from] prometheus::Error),
 }
 
 /// What the rest of the daemon does when another daemon asks for it.
@@ -77,7 +87,9 @@
         let key = KeyCheck {
             key: settings.key.clone(),
         };
-        let hub = Arc::new(Hub::new(settings, address, table, ledger, store, log));
+        let traffic = Traffic::open()?;
+        let hub = Hub::new(settings, address, table, ledger, store, traffic, log);
+        let hub = Arc::new(hub);
         let service = FleetServer::new(Server {
             hub: Arc::clone(&hub),
             local,
@@ -97,6 +109,7 @@
         });
         tasks.spawn(follow::run(Arc::clone(&hub)));
         tasks.spawn(repair::run(Arc::clone(&hub)));
+        tasks.spawn(note_versions(Arc::clone(&hub)));
         let tasks = Mutex::new(tasks);
         Ok(Self { hub, tasks })
     }
@@ -108,7 +121,12 @@
 
     /// Returns the daemons by version at and below this one.
     pub fn counts(&self) -> Counts {
-        self.hub.counts()
+        self.hub.report().counts
+    }
+
+    /// Returns some of the daemons at and below this one that lag, and why.
+    pub fn lags(&self) -> Vec<Lag> {
+        self.hub.report().lags
     }
 
     /// Returns whether this daemon is below a relay or one itself.
@@ -116,22 +134,61 @@
         !self.hub.path.borrow().is_empty()
     }
 
+    /// Returns whether this daemon has a relay's duty.
+    pub fn is_relay(&self) -> bool {
+        self.hub.is_relay()
+    }
+
+    /// Returns whether this daemon has reached its version floor since its start.
+    ///
+    /// Until then it has no version in force.
+    pub fn is_ready(&self) -> bool {
+        self.hub.is_ready()
+    }
+
+    /// Registers the metrics of the distribution.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `registry` has them already.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        self.hub.traffic.register(registry)
+    }
+
     /// Returns the daemons by version over the whole fleet, as the relays last reported them.
     ///
     /// # Errors
     ///
     /// Fails if the store does.
     pub async fn fleet_counts(&self) -> Result<Counts, store::Error> {
-        let entries = self.hub.store.list("summary/", "", MAX_SUMMARIES).await?;
         let mut sum = Counts::default();
-        for entry in entries {
-            if let Ok(summary) = serde_json::from_slice::<Summary>(&entry.value) {
-                sum.merge(&Counts(summary.versions));
-            }
+        for summary in self.summaries().await? {
+            sum.merge(&Counts(summary.versions));
         }
         Ok(sum)
     }
 
+    /// Returns some of the daemons of the whole fleet that lag, and why.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does.
+    pub async fn fleet_lags(&self) -> Result<Vec<Lag>, store::Error> {
+        let summaries = self.summaries().await?;
+        Ok(summaries
+            .into_iter()
+            .flat_map(|summary| summary.lags)
+            .collect())
+    }
+
+    async fn summaries(&self) -> Result<Vec<Summary>, store::Error> {
+        let entries = self.hub.store.list("summary/", "", MAX_SUMMARIES).await?;
+        let summaries = entries.iter();
+        Ok(summaries
+            .filter_map(|entry| serde_json::from_slice(&entry.value).ok())
+            .collect())
+    }
+
     /// Asks the daemon on `vm` to drain the upstream beside it.
     ///
     /// # Errors
@@ -152,10 +209,40 @@
         Err(DrainError::NoUpstream(vm.clone()))
     }
 
-    /// Hands back the duty, ends the links and stops.
+    /// Hands over the duty, ends the links and stops.
     pub async fn stop(&self) {
+        self.hub.retire.cancel();
+        let mut duty = self.hub.duty.subscribe();
+        let handed_over = duty.wait_for(Option::is_none);
+        let _ = timeout(HAND_OVER_TIMEOUT, handed_over).await;
         self.hub.stop.cancel();
         let mut tasks = self.tasks.lock().await;
         while tasks.join_next().await.is_some() {}
     }
 }
+
+/// Ends the links at once, as a crash does; a planned stop calls [`Node::stop`] before.
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.hub.stop.cancel();
+    }
+}
+
+/// Logs each version that comes in force, and when it did.
+async fn note_versions(hub: Arc<Hub>) {
+    let mut versions = hub.table.subscribe();
+    loop {
+        tokio::select! {
+            changed = versions.changed() => if changed.is_err() {
+                return;
+            },
+            () = hub.stop.cancelled() => return,
+        }
+        let version = *versions.borrow_and_update();
+        hub.clear_trouble();
+        hub.traffic.version.set(version.get() as i64);
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at = since.unwrap_or_default().as_micros() as u64;
+        info!(hub.log, "version in force"; "version" => version.get(), "at_us" => at);
+    }
+}
--- a/crates/spread/src/relay.rs
+++ b/crates/spread/src/relay.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ledger::Ledger;
 use model::Version;
 use slog::{info, warn};
 use store::{Expect, LeaseId, Put, Revision};
-use table::{Table, Whole};
-use tokio::time::{interval, sleep};
+use table::Whole;
+use tokio::time::{Instant, interval, sleep};
 
 use crate::hub::Hub;
+use crate::relays::PREFIX;
+use crate::release::release;
 use crate::{Summary, mesh};
 
 /// Longest wait of one watch.
@@ -22,6 +23,9 @@
 /// Changes behind which the head is fetched whole.
 const MAX_BEHIND: u64 = 64;
 
+/// Time left to the child that is asked to take over, before the links end.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(100);
+
 /// What became of a claim to the relay's duty.
 pub(crate) enum Claim {
     /// This daemon holds it.
@@ -34,6 +38,8 @@
 pub(crate) struct Duty {
     lease: LeaseId,
     slot: u32,
+    /// Until when the lease surely lives.
+    leased: Instant,
 }
 
 /// Claims a vacant relay's slot of this failure domain.
@@ -42,12 +48,13 @@
 ///
 /// Fails if the store does.
 pub(crate) async fn claim(hub: &Hub) -> Result<Claim, store::Error> {
-    let prefix = format!("relay/{}/", hub.settings.domain);
+    let prefix = format!("{PREFIX}{}/", hub.settings.domain);
     let entries = hub.store.list(&prefix, "", hub.settings.relays).await?;
     let own = hub.address.to_string();
     let slot_key = |slot: u32| format!("{prefix}{slot}");
     let taken = |slot: &u32| entries.iter().any(|entry| entry.key == slot_key(*slot));
     if let Some(slot) = (0..hub.settings.relays).find(|slot| !taken(slot)) {
+        let leased = Instant::now() + hub.settings.lease.duration();
         let lease = hub.store.grant(hub.settings.lease.duration()).await?;
         let value = own.clone().into_bytes();
         let put = hub
@@ -55,7 +62,11 @@
             .put(&slot_key(slot), value, Expect::Absent, Some(lease))
             .await?;
         if let Put::Done(_) = put {
-            return Ok(Claim::Held(Duty { lease, slot }));
+            return Ok(Claim::Held(Duty {
+                lease,
+                slot,
+                leased,
+            }));
         }
         hub.store.revoke(lease).await?;
     }
@@ -70,18 +81,26 @@
     /// Does the duty until the lease is lost or the daemon stops.
     pub(crate) async fn run(self, hub: &Arc<Hub>) {
         info!(hub.log, "relay duty taken"; "slot" => self.slot);
+        hub.duty.send_replace(Some(self.leased));
         hub.path.send_replace(vec![hub.settings.vm.clone()]);
         tokio::select! {
             () = watch_head(hub) => {}
             () = self.keep_lease(hub) => warn!(hub.log, "relay duty lost"),
             () = mesh::run(hub) => {}
             () = self.summarise(hub) => {}
-            () = hub.stop.cancelled() => {
-                if let Err(error) = hub.store.revoke(self.lease).await {
-                    warn!(hub.log, "relay duty not handed back"; "error" => %error);
-                }
-            }
+            () = hub.retire.cancelled() => self.hand_over(hub).await,
+        }
+        hub.duty.send_replace(None);
+    }
+
+    /// Hands the duty back, and asks a child to take it at once.
+    async fn hand_over(&self, hub: &Hub) {
+        if let Err(error) = hub.store.revoke(self.lease).await {
+            warn!(hub.log, "relay duty not handed back"; "error" => %error);
+            return;
         }
+        hub.appoint();
+        sleep(HAND_OVER_PAUSE).await;
     }
 
     /// Renews the lease; returns when the store says that it has lapsed.
@@ -91,8 +110,11 @@
         let mut ticks = interval(hub.settings.lease.duration() / 3);
         loop {
             ticks.tick().await;
-            if let Ok(false) = hub.store.renew(self.lease).await {
-                return;
+            let leased = Instant::now() + hub.settings.lease.duration();
+            match hub.store.renew(self.lease).await {
+                Ok(true) => drop(hub.duty.send_replace(Some(leased))),
+                Ok(false) => return,
+                Err(_) => {}
             }
         }
     }
@@ -104,8 +126,10 @@
         let mut written = None;
         loop {
             ticks.tick().await;
+            let report = hub.report();
             let summary = Summary {
-                versions: hub.counts().0,
+                versions: report.counts.0,
+                lags: report.lags,
             };
             if written.as_ref() == Some(&summary) {
                 continue;
@@ -124,10 +148,16 @@
 
 /// Puts every new head in force.
 async fn watch_head(hub: &Hub) {
+    let mut relays = hub.relays.subscribe();
+    // Who else must hold a version is known once the relays are.
+    let _ = relays
+        .wait_for(|relays| relays.revision > Revision(0))
+        .await;
     let mut after = Revision(0);
     loop {
-        if let Err(error) = catch_up(&hub.ledger, &hub.table).await {
+        if let Err(error) = catch_up(hub).await {
             warn!(hub.log, "head not put in force"; "error" => %error);
+            hub.set_trouble(&error.to_string());
             sleep(STORE_PAUSE).await;
             continue;
         }
@@ -140,7 +170,7 @@
 
 /// Why the head was not put in force.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum CatchUpError {
+enum CatchUpError {
     #[error(transparent)]
     Ledger(#[from] ledger::Error),
     #[error(transparent)]
@@ -148,27 +178,26 @@
 }
 
 /// Puts the head of the ledger in force.
-///
-/// # Errors
-///
-/// Fails if the store does or the head cannot be served.
-pub(crate) async fn catch_up(ledger: &Ledger, table: &Table) -> Result<(), CatchUpError> {
-    let tip = ledger.tip().await?;
-    let held = table.snapshot().version;
+async fn catch_up(hub: &Hub) -> Result<(), CatchUpError> {
+    let tip = hub.ledger.tip().await?;
+    hub.floor.set(tip.version);
+    let held = hub.table.snapshot().version;
     if tip.version <= held {
         return Ok(());
     }
     if held > Version::default() && tip.version.get() - held.get() <= MAX_BEHIND {
-        let changes = ledger.since(&tip, held).await?;
+        let changes = hub.ledger.since(&tip, held).await?;
         let bytes: Vec<Vec<u8>> = changes.iter().map(|change| change.to_bytes()).collect();
-        table.apply(&bytes)?;
-        return Ok(());
+        let apply = || hub.table.apply(&bytes).map(drop);
+        return Ok(release(hub, tip.version, apply).await?);
     }
-    if let Some(change) = &tip.change {
-        table.install(Whole {
-            change: Arc::from(change.to_bytes()),
-            state: tip.state.clone(),
-        })?;
-    }
-    Ok(())
+    let Some(change) = &tip.change else {
+        return Ok(());
+    };
+    let whole = Whole {
+        change: Arc::from(change.to_bytes()),
+        state: tip.state.clone(),
+    };
+    let apply = || hub.table.install(whole).map(drop);
+    Ok(release(hub, tip.version, apply).await?)
 }
--- /dev/null
+++ b/crates/spread/src/relays.rs
@@ -0,0 +1,92 @@
+//! The relays of the fleet, as the store last named them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::DomainName;
+use store::Revision;
+use wire::fleet;
+
+/// Prefix of the relays' keys.
+pub(crate) const PREFIX: &str = "relay/";
+
+/// A relay.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Relay {
+    pub(crate) domain: DomainName,
+    /// Fleet address.
+    pub(crate) address: String,
+}
+
+/// The relays of the fleet at one revision of the store; none are known at revision 0.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Relays {
+    pub(crate) revision: Revision,
+    pub(crate) list: Vec<Relay>,
+}
+
+impl Default for Relays {
+    fn default() -> Self {
+        Self {
+            revision: Revision(0),
+            list: Vec::new(),
+        }
+    }
+}
+
+impl Relays {
+    /// Returns the relays under the keys and addresses `entries`.
+    pub(crate) fn new(revision: Revision, entries: &BTreeMap<String, String>) -> Self {
+        let list = entries.iter().filter_map(|(key, address)| {
+            let (domain, _slot) = key.strip_prefix(PREFIX)?.rsplit_once('/')?;
+            Some(Relay {
+                domain: domain.parse().ok()?,
+                address: address.clone(),
+            })
+        });
+        Self {
+            revision,
+            list: list.collect(),
+        }
+    }
+
+    /// Returns the addresses of the relays of `domain`.
+    pub(crate) fn inside(&self, domain: &DomainName) -> Vec<String> {
+        let inside = self.list.iter().filter(|relay| relay.domain == *domain);
+        inside.map(|relay| relay.address.clone()).collect()
+    }
+
+    /// Returns the addresses of the relays of other failure domains than `domain`.
+    pub(crate) fn outside(&self, domain: &DomainName) -> Vec<String> {
+        let outside = self.list.iter().filter(|relay| relay.domain != *domain);
+        outside.map(|relay| relay.address.clone()).collect()
+    }
+
+    /// Returns the failure domains that have a relay.
+    pub(crate) fn domains(&self) -> BTreeSet<DomainName> {
+        self.list.iter().map(|relay| relay.domain.clone()).collect()
+    }
+
+    pub(crate) fn from_wire(relays: fleet::Relays) -> Self {
+        let list = relays.relays.into_iter().filter_map(|relay| {
+            Some(Relay {
+                domain: relay.domain.parse().ok()?,
+                address: relay.address,
+            })
+        });
+        Self {
+            revision: Revision(relays.revision),
+            list: list.collect(),
+        }
+    }
+
+    pub(crate) fn to_wire(&self) -> fleet::Relays {
+        let relays = self.list.iter().map(|relay| fleet::Relay {
+            domain: relay.domain.to_string(),
+            address: relay.address.clone(),
+        });
+        fleet::Relays {
+            revision: self.revision.0,
+            relays: relays.collect(),
+        }
+    }
+}
--- a/crates/spread/src/repair.rs
+++ b/crates/spread/src/repair.rs
@@ -1,21 +1,28 @@
-//! Comparison with a random peer, which repairs what the links lost.
+//! Comparison with a random peer, which repairs what the links lost and carries the fleet while
+//! there is no relay.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use member::Record;
+use member::{BucketIndex, Buckets, Record};
+use model::Version;
 use rand::RngExt;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use slog::{debug, warn};
 use tokio::time::{sleep, timeout};
-use wire::fleet::CompareRequest;
+use tonic::Status;
+use wire::fleet::{CompareReply, CompareRequest};
 
-use crate::codec::{self, Update};
+use crate::codec::{self, Mark, Update};
 use crate::hub::Hub;
 
 /// Longest wait for a peer's answer.
 const COMPARE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Own records sent in one comparison; the rest waits for the next one.
+const MAX_SENT_RECORDS: usize = 500;
+
 /// Compares with one random peer after the other until the daemon stops.
 pub(crate) async fn run(hub: Arc<Hub>) {
     loop {
@@ -25,6 +32,7 @@
             () = sleep(Duration::from_millis(pause)) => {}
             () = hub.stop.cancelled() => return,
         }
+        hub.table.members().sweep(std::time::Instant::now());
         let Some(address) = peer(&hub) else {
             continue;
         };
@@ -46,25 +54,108 @@
     all.choose(&mut rand::rng()).map(ToString::to_string)
 }
 
-async fn compare(hub: &Hub, address: &str) -> Result<(), tonic::Status> {
-    let snapshot = hub.table.snapshot();
-    let request = hub.request(CompareRequest {
-        version: snapshot.version.get(),
-        digest: snapshot.digest.as_bytes().to_vec(),
-    })?;
-    let mut client = hub.client(address)?;
-    let reply = timeout(COMPARE_TIMEOUT, client.compare(request))
-        .await
-        .map_err(|_| tonic::Status::deadline_exceeded("no answer in time"))??
-        .into_inner();
+async fn compare(hub: &Hub, address: &str) -> Result<(), Status> {
+    let members = hub.table.members();
+    let own = members.buckets();
+    let mark = Mark::of(&hub.table);
+    let request = CompareRequest {
+        mark: hub.is_ready().then(|| mark.to_wire()),
+        root: own.root(),
+        buckets: Vec::new(),
+        records: None,
+    };
+    let reply = call(hub, address, request).await?;
     let update = Update {
         changes: reply.changes,
         state: reply.state,
     };
-    if let Err(error) = update.apply(&hub.table) {
+    if let Err(error) = hub.offer(update) {
         warn!(hub.log, "version not put in force"; "peer" => address, "error" => %error);
     }
+    let Some(theirs) = Buckets::from_wire(reply.digests) else {
+        return Ok(());
+    };
+    let mut differing = own.differing(&theirs);
+    differing.shuffle(&mut rand::rng());
+    let buckets = fitting(hub, &differing);
+    let records = members.in_buckets(&buckets);
+    let request = CompareRequest {
+        mark: None,
+        root: 0,
+        buckets: buckets.iter().map(|bucket| bucket.get()).collect(),
+        records: codec::to_wire(&records),
+    };
+    let reply = call(hub, address, request).await?;
     let records = codec::records(&hub.log, reply.records);
-    hub.table.merge(records, hub.new_link());
+    hub.table.merge(records, hub.new_link(false));
     Ok(())
 }
+
+/// Returns as many of `differing` as hold no more records than one comparison sends.
+fn fitting(hub: &Hub, differing: &[BucketIndex]) -> BTreeSet<BucketIndex> {
+    let mut buckets = BTreeSet::new();
+    let mut count = 0;
+    for bucket in differing {
+        count += hub
+            .table
+            .members()
+            .in_buckets(&BTreeSet::from([*bucket]))
+            .len();
+        if count > MAX_SENT_RECORDS && !buckets.is_empty() {
+            break;
+        }
+        buckets.insert(*bucket);
+    }
+    buckets
+}
+
+async fn call(hub: &Hub, address: &str, request: CompareRequest) -> Result<CompareReply, Status> {
+    let mut client = hub.client(address)?;
+    hub.traffic.sent(&request);
+    let request = hub.request(request)?;
+    let reply = timeout(COMPARE_TIMEOUT, client.compare(request))
+        .await
+        .map_err(|_| Status::deadline_exceeded("no answer in time"))??
+        .into_inner();
+    hub.traffic.received(&reply);
+    Ok(reply)
+}
+
+/// Answers a peer's comparison.
+pub(crate) fn answer(hub: &Hub, theirs: CompareRequest) -> CompareReply {
+    let members = hub.table.members();
+    let mut reply = CompareReply::default();
+    if theirs.buckets.is_empty() {
+        let own = members.buckets();
+        if own.root() != theirs.root {
+            reply.digests = own.as_slice().to_vec();
+        }
+        add_update(hub, theirs.mark, &mut reply);
+        return reply;
+    }
+    let buckets = theirs.buckets.iter();
+    let buckets = buckets.filter_map(|index| BucketIndex::new(*index));
+    let known = codec::records(&hub.log, theirs.records);
+    let mut own = members.in_buckets(&buckets.collect());
+    own.retain(|record| !known.contains(record));
+    reply.records = codec::to_wire(&own);
+    hub.table.merge(known, hub.new_link(false));
+    reply
+}
+
+/// Adds the versions that a peer lacks; a whole state only if not too many others take one.
+fn add_update(hub: &Hub, mark: Option<wire::fleet::Mark>, reply: &mut CompareReply) {
+    let Some(mark) = mark else {
+        return;
+    };
+    let mark = Mark::from_wire(Some(mark));
+    let own = Mark::of(&hub.table).version;
+    if own <= mark.version || own == Version::default() {
+        return;
+    }
+    if let Some(update) = Update::changes_after(&hub.table, mark) {
+        reply.changes = update.changes;
+    } else if hub.transfers.available_permits() > 0 {
+        reply.state = hub.whole();
+    }
+}
--- /dev/null
+++ b/crates/spread/src/traffic.rs
@@ -0,0 +1,65 @@
+//! What the distribution sends and receives, counted by the encoded length of the messages.
+
+use prometheus::{IntCounter, IntGauge, Registry};
+use prost::Message;
+
+/// Bytes that gRPC puts before each message.
+const FRAME_BYTES: usize = 5;
+
+/// Counters of the distribution.
+#[derive(Debug, Clone)]
+pub(crate) struct Traffic {
+    sent: IntCounter,
+    received: IntCounter,
+    /// Version in force.
+    pub(crate) version: IntGauge,
+    /// Daemons that follow this one directly.
+    pub(crate) children: IntGauge,
+}
+
+impl Traffic {
+    /// Returns counters at zero.
+    pub(crate) fn open() -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            sent: IntCounter::new(
+                "sardinestall_fleet_sent_bytes_total",
+                "Bytes of messages sent to other daemons.",
+            )?,
+            received: IntCounter::new(
+                "sardinestall_fleet_received_bytes_total",
+                "Bytes of messages received from other daemons.",
+            )?,
+            version: IntGauge::new("sardinestall_version_in_force", "Version in force.")?,
+            children: IntGauge::new(
+                "sardinestall_fleet_children",
+                "Daemons that follow this one directly.",
+            )?,
+        })
+    }
+
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `registry` has them already.
+    pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        registry.register(Box::new(self.sent.clone()))?;
+        registry.register(Box::new(self.received.clone()))?;
+        registry.register(Box::new(self.version.clone()))?;
+        registry.register(Box::new(self.children.clone()))
+    }
+
+    /// Counts a message that is sent.
+    pub(crate) fn sent(&self, message: &impl Message) {
+        self.sent.inc_by(size(message));
+    }
+
+    /// Counts a message that was received.
+    pub(crate) fn received(&self, message: &impl Message) {
+        self.received.inc_by(size(message));
+    }
+}
+
+fn size(message: &impl Message) -> u64 {
+    (message.encoded_len() + FRAME_BYTES) as u64
+}
--- /dev/null
+++ b/crates/spread/tests/nodes/main.rs
@@ -0,0 +1,6 @@
+//! Real nodes on loopback ports, with a store in memory that fails on demand.
+
+mod duty;
+mod floor;
+mod repair;
+mod support;
--- /dev/null
+++ b/crates/spread/tests/nodes/repair.rs
@@ -0,0 +1,135 @@
+//! Comparison with peers carries what the links cannot.
+
+use std::time::Duration;
+
+use member::{LinkId, UpstreamState};
+use standin::Kv;
+use tokio::time::sleep;
+
+use crate::support::{TestNode, accept, serving, set_down, wait};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn orphans_exchange_membership_while_store_and_relay_are_out() {
+    let kv = Kv::open();
+    let relay = TestNode::spawn(&kv, "a-0", "a", &[]).await;
+    wait("the duty is taken", || relay.node.is_relay()).await;
+    let mut nodes = Vec::new();
+    for i in 1..6 {
+        nodes.push(TestNode::spawn(&kv, &format!("a-{i}"), "a", &[]).await);
+    }
+    wait("everybody knows everybody", || {
+        nodes.iter().all(|node| node.live().len() == 6)
+    })
+    .await;
+    set_down(&kv, true);
+    drop(relay);
+    wait("the daemons are orphans", || {
+        nodes.iter().all(|node| !node.node.is_rooted())
+    })
+    .await;
+    nodes[0]
+        .table
+        .announce(|record| record.state = UpstreamState::Draining);
+    let vm = "a-1".parse().expect("a valid id");
+    wait("every orphan hears of it", || {
+        nodes.iter().all(|node| {
+            let record = node.table.members().get(&vm);
+            record.is_some_and(|record| record.state == UpstreamState::Draining)
+        })
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn expiry_of_a_living_daemon_is_answered_by_it() {
+    let kv = Kv::open();
+    let nodes = [
+        TestNode::spawn(&kv, "a-0", "a", &[]).await,
+        TestNode::spawn(&kv, "a-1", "a", &[]).await,
+        TestNode::spawn(&kv, "b-0", "b", &[]).await,
+    ];
+    wait("everybody knows everybody", || {
+        nodes.iter().all(|node| node.live().len() == 3)
+    })
+    .await;
+    let before = nodes[1].table.members().own().counter;
+    nodes[2].table.expire(&"a-1".parse().expect("a valid id"));
+    wait("the expired daemon answers", || {
+        nodes[1].table.members().own().counter > before
+    })
+    .await;
+    wait("everybody knows everybody again", || {
+        nodes.iter().all(|node| node.live().len() == 3)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn killed_daemon_and_one_known_through_it_expire() {
+    let kv = Kv::open();
+    let mut nodes = Vec::new();
+    for i in 0..12 {
+        nodes.push(TestNode::spawn(&kv, &format!("a-{i}"), "a", &[]).await);
+    }
+    accept(&kv, 1).await;
+    serving(&nodes, 1).await;
+    wait("everybody knows everybody", || {
+        nodes.iter().all(|node| node.live().len() == 12)
+    })
+    .await;
+    drop(nodes.pop());
+    wait("the killed daemon expires", || {
+        nodes.iter().all(|node| node.live().len() == 11)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn equal_peers_exchange_next_to_nothing() {
+    let kv = Kv::open();
+    let nodes = [
+        TestNode::spawn(&kv, "a-0", "a", &[]).await,
+        TestNode::spawn(&kv, "b-0", "b", &[]).await,
+    ];
+    wait("everybody knows everybody", || {
+        nodes.iter().all(|node| node.live().len() == 2)
+    })
+    .await;
+    let crowd = crowd(2_000, &nodes[0]);
+    for node in &nodes {
+        node.table.merge(crowd.clone(), LinkId(77));
+    }
+    wait("both know the crowd", || {
+        let root = |node: &TestNode| node.table.members().buckets().root();
+        root(&nodes[0]) == root(&nodes[1])
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    let before = received(&nodes[0]);
+    sleep(Duration::from_secs(3)).await;
+    let rate = (received(&nodes[0]) - before) / 3;
+    // 2,000 whole records every 0.3 s would be hundreds of kilobytes.
+    assert!(rate < 10_000, "{rate} bytes a second");
+}
+
+/// Returns records of `count` daemons that resemble the one of `node`.
+fn crowd(count: usize, node: &TestNode) -> Vec<member::Record> {
+    let own = node.table.members().own();
+    let records = (0..count).map(|i| {
+        let mut record = own.clone();
+        record.vm = format!("z-{i}").parse().expect("a valid id");
+        // Nobody answers at these addresses.
+        record.fleet = ([127, 0, 0, 1], 1).into();
+        record
+    });
+    records.collect()
+}
+
+/// Returns the bytes that a node received from others.
+fn received(node: &TestNode) -> u64 {
+    let name = "sardinestall_fleet_received_bytes_total";
+    let families = node.registry.gather();
+    let family = families.iter().find(|family| family.name() == name);
+    let metric = family.and_then(|family| family.get_metric().first().cloned());
+    metric.map_or(0, |metric| metric.get_counter().get_value() as u64)
+}
--- /dev/null
+++ b/crates/spread/tests/nodes/support.rs
@@ -0,0 +1,163 @@
+//! A fleet of nodes in one process, on loopback ports and a store in memory.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ledger::{Ledger, Request};
+use member::{Members, Record, UpstreamState};
+use model::{Config, Incarnation, Millis, Secret, UnixMillis, Version};
+use prometheus::Registry;
+use slog::{Discard, Logger, o};
+use spread::{Local, Node, Settings};
+use standin::Kv;
+use table::Table;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// Longest wait for a condition that must come about.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
+
+/// Time for which a condition that must not come about is looked for.
+pub(crate) const WHILE: Duration = Duration::from_secs(2);
+
+/// An upstream that cannot be drained.
+#[derive(Debug)]
+struct NoUpstream;
+
+impl Local for NoUpstream {
+    fn drain(&self) -> bool {
+        false
+    }
+}
+
+/// One node with its table.
+pub(crate) struct TestNode {
+    pub(crate) node: Node,
+    pub(crate) table: Arc<Table>,
+    pub(crate) address: SocketAddr,
+    pub(crate) registry: Registry,
+}
+
+impl TestNode {
+    /// Starts a node.
+    pub(crate) async fn spawn(kv: &Kv, vm: &str, domain: &str, seeds: &[SocketAddr]) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let record = Record {
+            vm: vm.parse().expect("a valid id"),
+            incarnation: Incarnation::new(UnixMillis::now().get()),
+            counter: 0,
+            state: UpstreamState::Ready,
+            service: Some("proofdesk".parse().expect("a valid name")),
+            gate: address,
+            fleet: address,
+            domain: domain.parse().expect("a valid name"),
+            region: "cz-morava".parse().expect("a valid name"),
+            slots: 12,
+            expired: false,
+        };
+        let settings = Settings {
+            vm: record.vm.clone(),
+            domain: record.domain.clone(),
+            seeds: seeds.to_vec(),
+            key: Secret::new("test-fleet"),
+            fanout: 3,
+            relays: 1,
+            lease: Millis::new(4_000),
+            beacon: Millis::new(200),
+            silence: Millis::new(1_500),
+            grace: Millis::new(400),
+            compare: Millis::new(300),
+        };
+        let store = Arc::new(kv.clone());
+        let table = Arc::new(Table::open(Arc::new(Members::open(record))));
+        let ledger = Arc::new(Ledger::open(store.clone()));
+        let log = Logger::root(Discard, o!());
+        let spawned = Node::spawn(
+            settings,
+            listener,
+            Arc::clone(&table),
+            ledger,
+            store,
+            Arc::new(NoUpstream),
+            log,
+        );
+        let node = spawned.expect("a node");
+        let registry = Registry::new();
+        node.register(&registry).expect("valid metrics");
+        Self {
+            node,
+            table,
+            address,
+            registry,
+        }
+    }
+
+    /// Returns the version in force.
+    pub(crate) fn version(&self) -> u64 {
+        self.table.snapshot().version.get()
+    }
+
+    /// Returns the VMs that this node holds for live, in order.
+    pub(crate) fn live(&self) -> Vec<String> {
+        let records = self.table.members().all();
+        let live = records.iter().filter(|record| record.is_alive());
+        live.map(|record| record.vm.to_string()).collect()
+    }
+}
+
+/// Accepts the example with a time-out that differs by `change`; returns its version.
+pub(crate) async fn accept(kv: &Kv, change: u64) -> Version {
+    let plan = plan::brno().expect("the example is valid");
+    let mut config: Config = plan.config().clone();
+    config.routes[0].rules.timeout = Millis::new(5_000 + change);
+    let request = Request {
+        config,
+        accept_id: format!("change-{change}").parse().expect("a valid id"),
+        operator: "test".parse().expect("a valid name"),
+        reason: "test".into(),
+    };
+    let ledger = Ledger::open(Arc::new(kv.clone()));
+    let accepted = ledger.accept(&request).await.expect("it is accepted");
+    accepted.version
+}
+
+/// Takes the store out, or back in.
+pub(crate) fn set_down(kv: &Kv, down: bool) {
+    let mut faults = kv.faults();
+    faults.down = down;
+    kv.set_faults(faults);
+}
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+///
+/// Panics if it does not in time.
+pub(crate) async fn wait(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "never came about: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Panics if `condition` ceases to hold for some time.
+pub(crate) async fn hold(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + WHILE;
+    while Instant::now() < deadline {
+        assert!(condition(), "ceased to hold: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Waits until every node has `version` in force.
+pub(crate) async fn serving(nodes: &[TestNode], version: u64) {
+    wait("the version is in force everywhere", || {
+        nodes.iter().all(|node| node.version() == version)
+    })
+    .await;
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,12 +11,15 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use tokio::runtime::Builder;
 
 use crate::cli::Cli;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    match command::run(Cli::parse()).await {
+/// Threads that a process works with: a daemon is a small neighbour of its upstream.
+const WORKER_THREADS: usize = 2;
+
+fn main() -> ExitCode {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("sardinestall: {error}");
@@ -24,3 +27,11 @@
         }
     }
 }
+
+fn run() -> Result<(), error::Error> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()?;
+    runtime.block_on(command::run(Cli::parse()))
+}
