Benchmark distribution: sizes, converge, churn, herd, outage

Cause: distribution had one thin benchmark that polled the daemons one after the other. converge now reads the daemons' own time of each version, bytes at the fleet port, calls of the store by kind, and runs the baseline beside it.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -1,6 +1,13 @@
 //! Benchmarks of distribution and membership.
 
+mod baseline;
+mod churn;
 mod converge;
+mod herd;
+mod outage;
+mod probe;
+mod sizes;
+mod workload;
 
 use clap::Subcommand;
 use harness::Error;
@@ -10,11 +17,23 @@
 pub(crate) enum Command {
     /// Time from an accept until every daemon serves it.
     Converge(converge::Args),
+    /// Upstreams that start, drain and stop.
+    Churn(churn::Args),
+    /// All daemons but one restarted at once.
+    Herd(herd::Args),
+    /// The store out for the whole run.
+    Outage(outage::Args),
+    /// Bytes of records and whole states on the wire.
+    Sizes(sizes::Args),
 }
 
 /// Runs one benchmark.
 pub(crate) async fn run(command: Command) -> Result<(), Error> {
     match command {
         Command::Converge(args) => converge::run(args).await,
+        Command::Churn(args) => churn::run(args).await,
+        Command::Herd(args) => herd::run(args).await,
+        Command::Outage(args) => outage::run(args).await,
+        Command::Sizes(args) => sizes::run(args),
     }
 }
--- a/crates/bench/src/spread/converge.rs
+++ b/crates/bench/src/spread/converge.rs
@@ -1,17 +1,18 @@
-//! Time from an accept until every daemon serves it.
+//! Time from an accept until every daemon serves it, and what it costs.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use clap::Args as ClapArgs;
-use harness::{Error, Fleet, VmSpec};
-use model::AcceptId;
+use harness::{Error, Fleet};
 use serde::Serialize;
+use standin::Counts;
+use tokio::time::{Instant, sleep};
 
+use super::baseline;
+use super::probe::{self, Load};
+use super::workload::{TEAM, Workload};
 use crate::report::{self, Micros};
 
-/// Longest wait for one version.
-const LIMIT: Duration = Duration::from_secs(60);
-
 /// Size of the run.
 #[derive(Debug, ClapArgs)]
 pub(crate) struct Args {
@@ -24,55 +25,206 @@
     /// Failure domains to spread the daemons over.
     #[arg(long, default_value_t = 3)]
     domains: usize,
+    /// Pause between two changes, in milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    pause_ms: u64,
+    /// Time without changes that is measured first, in seconds.
+    #[arg(long, default_value_t = 10)]
+    idle_s: u64,
+    /// Changes of the baseline; it is left out at 0.
+    #[arg(long, default_value_t = 5)]
+    baseline: u64,
+    /// Seed of the configuration and its changes.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
 }
 
 #[derive(Debug, Serialize)]
 struct Report {
     bench: &'static str,
     transport: &'static str,
+    seed: u64,
     daemons: usize,
     domains: usize,
     changes: u64,
-    converge_us: Micros,
+    config_bytes: usize,
+    /// From the accept's request to in force, each daemon.
+    in_force_us: Micros,
+    /// From the accept's request to in force on the last daemon, each change.
+    everywhere_us: Micros,
+    /// From the accept's request to its answer.
+    accept_us: Micros,
+    idle_bytes_per_daemon_s: Load,
+    bytes_per_daemon_per_change: Load,
+    idle_store_calls: Counts,
+    store_calls: Counts,
+    idle_cpu_ms_per_daemon_s: f64,
+    max_rss_kb: u64,
+    baseline: Option<baseline::Report>,
+}
+
+/// A change that was accepted.
+struct Change {
+    version: u64,
+    started_us: u64,
+    accept_us: u64,
 }
 
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
-    let mut fleet = Fleet::open(&["redakce"]).await?;
+    let mut fleet = Fleet::open(&[TEAM]).await?;
     for i in 0..args.daemons {
-        let domain = format!("domain-{}", i % args.domains);
-        fleet
-            .start_daemon(VmSpec::new(&format!("vm-{i}"), &domain, "region-0"))
-            .await?;
+        fleet.start_daemon(probe::spec(i, args.domains)).await?;
     }
-    let mut histogram = report::histogram();
-    for change in 0..args.changes {
-        let config = config(change);
-        let id: AcceptId = format!("change-{change}")
-            .parse()
-            .map_err(|_| Error::Call("the accept id is not valid".into()))?;
-        let started = Instant::now();
-        let accepted = fleet.accept(0, &config, &id).await?;
-        fleet.wait_serving(accepted.version, LIMIT).await?;
-        if change > 0 {
-            histogram.saturating_record(started.elapsed().as_micros() as u64);
-        }
+    let mut workload = Workload::new(args.seed)?;
+    let config = workload.json()?;
+    let first = fleet.accept(0, &config, &workload.accept_id()?).await?;
+    probe::wait_counted(&fleet, args.daemons, first.version.get()).await?;
+
+    let idle = Span::begin(&fleet).await?;
+    sleep(Duration::from_secs(args.idle_s)).await;
+    let idle = idle.end(&fleet).await?;
+    let busy = Span::begin(&fleet).await?;
+    let changes = change(&fleet, &args, &mut workload).await?;
+    let busy = busy.end(&fleet).await?;
+
+    let last = changes.last().map_or(0, |change| change.version);
+    probe::wait_counted(&fleet, args.daemons, last).await?;
+    // The logs are written by a thread of their own.
+    sleep(Duration::from_secs(1)).await;
+    let (in_force, everywhere) = times(&fleet, &changes)?;
+    let mut accepts = report::histogram();
+    for change in &changes {
+        accepts.saturating_record(change.accept_us);
     }
+    let baseline = match args.baseline {
+        0 => None,
+        changes => Some(
+            baseline::run(
+                fleet.kv.address,
+                &fleet.kv.control,
+                args.daemons,
+                changes,
+                &mut workload,
+            )
+            .await?,
+        ),
+    };
+    let rss = probe::usage(&fleet);
     report::print(&Report {
         bench: "converge",
         transport: "gRPC over loopback, separate processes",
+        seed: args.seed,
         daemons: args.daemons,
         domains: args.domains,
         changes: args.changes,
-        converge_us: Micros::from(&histogram),
+        config_bytes: config.len(),
+        in_force_us: Micros::from(&in_force),
+        everywhere_us: Micros::from(&everywhere),
+        accept_us: Micros::from(&accepts),
+        bytes_per_daemon_per_change: busy.per_change(&idle, args.changes),
+        idle_bytes_per_daemon_s: idle.load(idle.seconds),
+        idle_cpu_ms_per_daemon_s: idle.cpu_ms as f64 / args.daemons as f64 / idle.seconds,
+        idle_store_calls: idle.calls,
+        store_calls: busy.calls,
+        max_rss_kb: rss.iter().map(|usage| usage.rss_kb).max().unwrap_or(0),
+        baseline,
     });
     Ok(())
 }
 
-/// Returns the example of Brno with a time-out that differs by `change`.
-fn config(change: u64) -> String {
-    let plan = plan::brno().expect("the example is valid");
-    let mut config = plan.config().clone();
-    config.routes[0].rules.timeout = model::Millis::new(5_000 + change);
-    serde_json::to_string(&config).expect("configurations serialise to JSON")
+/// Accepts the changes one after the other, each through another daemon.
+async fn change(fleet: &Fleet, args: &Args, workload: &mut Workload) -> Result<Vec<Change>, Error> {
+    let mut changes = Vec::new();
+    for i in 0..args.changes {
+        let config = workload.change()?;
+        let id = workload.accept_id()?;
+        let daemon = i as usize % fleet.daemons.len();
+        let started_us = probe::now_us();
+        let accepted = fleet.accept(daemon, &config, &id).await?;
+        changes.push(Change {
+            version: accepted.version.get(),
+            started_us,
+            accept_us: probe::now_us() - started_us,
+        });
+        sleep(Duration::from_millis(args.pause_ms)).await;
+    }
+    Ok(changes)
+}
+
+type Histograms = (hdrhistogram::Histogram<u64>, hdrhistogram::Histogram<u64>);
+
+/// Returns the times until in force on each daemon, and on the last of each change.
+fn times(fleet: &Fleet, changes: &[Change]) -> Result<Histograms, Error> {
+    let mut each = report::histogram();
+    let mut last = vec![0; changes.len()];
+    for daemon in &fleet.daemons {
+        let versions = probe::versions(&fleet.log(&daemon.spec.vm));
+        for (change, last) in changes.iter().zip(&mut last) {
+            let later = versions.range(change.version..);
+            let Some(at) = later.map(|(_, at)| *at).min() else {
+                let what = format!("version {} on {}", change.version, daemon.spec.vm);
+                return Err(Error::Timeout(what));
+            };
+            let time = at.saturating_sub(change.started_us);
+            each.saturating_record(time);
+            *last = time.max(*last);
+        }
+    }
+    let mut everywhere = report::histogram();
+    for time in last {
+        everywhere.saturating_record(time);
+    }
+    Ok((each, everywhere))
+}
+
+/// What a fleet did over some time.
+struct Span {
+    began: Instant,
+    seconds: f64,
+    before: Vec<probe::Bytes>,
+    after: Vec<probe::Bytes>,
+    calls: Counts,
+    cpu_ms: u64,
+}
+
+impl Span {
+    async fn begin(fleet: &Fleet) -> Result<Self, Error> {
+        Ok(Self {
+            began: Instant::now(),
+            seconds: 0.0,
+            before: probe::bytes(fleet).await?,
+            after: Vec::new(),
+            calls: fleet.kv.control.counts().await?,
+            cpu_ms: cpu_ms(fleet),
+        })
+    }
+
+    async fn end(mut self, fleet: &Fleet) -> Result<Self, Error> {
+        self.seconds = self.began.elapsed().as_secs_f64();
+        self.cpu_ms = cpu_ms(fleet) - self.cpu_ms;
+        self.after = probe::bytes(fleet).await?;
+        let now = fleet.kv.control.counts().await?;
+        self.calls = probe::calls(&self.calls, &now);
+        Ok(self)
+    }
+
+    fn load(&self, share: f64) -> Load {
+        Load::between(&self.before, &self.after, share)
+    }
+
+    /// Returns the bytes of one change, without what the fleet moves anyhow.
+    fn per_change(&self, idle: &Self, changes: u64) -> Load {
+        let all = self.load(changes as f64);
+        let anyhow = idle.load(idle.seconds * changes as f64 / self.seconds);
+        Load {
+            mean: all.mean.saturating_sub(anyhow.mean),
+            max: all.max,
+        }
+    }
+}
+
+fn cpu_ms(fleet: &Fleet) -> u64 {
+    let usage = probe::usage(fleet);
+    usage.iter().map(|usage| usage.cpu_ms).sum()
 }
