Carry many accepts under one head, big ones in parts, and settle by content

Cause: each accept walked up to 1,000 changes by single reads to look for its accept id, `log`, `since` and `at` read the chain from the head each time, a change over 1 MB was refused, a write whose answer was lost or that was refused for its rate failed the accept, an id used again for another configuration was answered with the old version, and a repeat that raced itself through two daemons was told of a conflict with itself.

Changes now lie under their version and digest, in parts of at most 900 kB, so that a page of the store's ordered list replaces hundreds of reads. Accepts that wait in one daemon are written as a version each and moved by one swap. Old changes, lost ones and checkpoints are removed by whoever wrote a checkpoint.

Ruled out: an index key per accept id, one more write for each try (3 instead of 2 for an accept alone) for ids older than an hour at the design rate only.

--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -87,6 +87,10 @@
                 ErrorKind::Conflict,
                 "look at the difference, print again and accept with the head as parent",
             ),
+            LedgerError::Reused { .. } => {
+                (ErrorKind::Conflict, "accept again under a new accept id")
+            }
+            LedgerError::TooLarge(_) => (ErrorKind::BadRequest, "accept it in several steps"),
             LedgerError::Busy(_) => (ErrorKind::Conflict, "accept again"),
             LedgerError::Unknown(_) => (
                 ErrorKind::Unknown,
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -1,6 +1,8 @@
 //! Benchmarks of distribution and membership.
 
+mod accepts;
 mod converge;
+mod design;
 
 use clap::Subcommand;
 use harness::Error;
@@ -8,6 +10,8 @@
 /// Benchmarks of distribution and membership.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Accepts a second that one head carries.
+    Accepts(accepts::Args),
     /// Time from an accept until every daemon serves it.
     Converge(converge::Args),
 }
@@ -15,6 +19,7 @@
 /// Runs one benchmark.
 pub(crate) async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Accepts(args) => accepts::run(args).await,
         Command::Converge(args) => converge::run(args).await,
     }
 }
--- a/crates/ledger/src/accept.rs
+++ b/crates/ledger/src/accept.rs
@@ -1,30 +1,37 @@
-//! Accepting a configuration.
+//! Accepting configurations, several at once.
 
-use std::collections::BTreeSet;
-use std::sync::Arc;
-use std::time::Duration;
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use futures_util::future::try_join_all;
 use model::{
-    AcceptId, Base, Change, Config, Digest, Entry, Key, MAX_CHANGE_BYTES, OperatorName, Piece,
-    Problem, Problems, State, TeamName, UnixMillis, Version, validate,
+    AcceptId, Base, Change, Config, Digest, Key, MAX_CHANGE_BYTES, OperatorName, State, TeamName,
+    UnixMillis, Version,
 };
-use store::{Expect, Put};
-use tokio::time::{Instant, sleep};
+use tokio::sync::oneshot;
 
-use crate::chain::{HEAD_KEY, Head, change_key};
+use crate::calls::Backoff;
+use crate::chain::{Head, Inner};
+use crate::link::{self, Link};
+use crate::plan::{Plan, differing, plan};
+use crate::swap::Swap;
 use crate::{Error, Ledger, Tip, checkpoint};
 
-/// Times an accept is made anew because another operator moved the head.
+/// Times an accept is made anew because the head moved.
 const MAX_ROUNDS: u32 = 256;
 
-/// Changes between two checkpoints.
-const CHECKPOINT_INTERVAL: u64 = 64;
+/// Accepts that wait in one process; further ones are refused.
+const MAX_WAITING: usize = 1_024;
+
+/// Accepts that one swap moves the head over.
+const MAX_BATCH: usize = 64;
 
-/// Longest wait for a store that lost an answer.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Changes between two checkpoints.
+pub(crate) const CHECKPOINT_INTERVAL: u64 = 256;
 
-/// Pause between tries to settle a lost answer.
-const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// Versions back from the head to which a parent's changes are compared one by one.
+const MAX_COMPARED: u64 = 512;
 
 /// What an operator asks to accept.
 #[derive(Debug, Clone)]
@@ -50,17 +57,64 @@
 
 impl Accepted {
     fn of(change: &Change) -> Self {
+        let keys = change.entries.iter().map(|entry| entry.key.clone());
         Self {
             version: change.version,
-            keys: change
-                .entries
-                .iter()
-                .map(|entry| entry.key.clone())
-                .collect(),
+            keys: keys.collect(),
         }
     }
 }
 
+/// Accepts that wait, and the lock under which one task at a time makes versions of them.
+///
+/// `turn` is taken before `waiting`, which is never held over a call.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    waiting: Mutex<VecDeque<Waiting>>,
+    turn: tokio::sync::Mutex<()>,
+    /// Whether a checkpoint was written and old content is to be removed.
+    retain: AtomicBool,
+}
+
+impl Queue {
+    fn waiting(&self) -> MutexGuard<'_, VecDeque<Waiting>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds `waiting` unless the queue is full.
+    fn push(&self, waiting: Waiting) -> Result<(), Error> {
+        let mut queue = self.waiting();
+        if queue.len() >= MAX_WAITING {
+            return Err(Error::Busy(0));
+        }
+        queue.push_back(waiting);
+        Ok(())
+    }
+
+    fn take(&self) -> Vec<Waiting> {
+        let mut queue = self.waiting();
+        let count = queue.len().min(MAX_BATCH);
+        queue.drain(..count).collect()
+    }
+}
+
+/// An accept that waits for its answer.
+#[derive(Debug)]
+struct Waiting {
+    request: Request,
+    digest: Digest,
+    /// Version that the configuration was made against, once known.
+    parent: Option<Version>,
+    answer: oneshot::Sender<Result<Accepted, Error>>,
+}
+
+impl Waiting {
+    fn answer(self, result: Result<Accepted, Error>) {
+        // An operator who no longer waits settles by the accept id.
+        let _ = self.answer.send(result);
+    }
+}
+
 impl Ledger {
     /// Accepts a configuration as the next version.
     ///
@@ -71,38 +125,145 @@
     ///
     /// Every kind but [`Error::Unknown`] means that nothing was accepted.
     pub async fn accept(&self, request: &Request) -> Result<Accepted, Error> {
-        let mut tip = self.tip().await?;
-        if let Some(change) = self.settle(&request.accept_id).await? {
-            return Ok(Accepted::of(&change));
-        }
-        let parent = request.config.parent.unwrap_or(tip.version);
+        let (answer, answered) = oneshot::channel();
+        self.inner.queue.push(Waiting {
+            request: request.clone(),
+            digest: request.config.digest(),
+            parent: request.config.parent,
+            answer,
+        })?;
+        let inner = Arc::clone(&self.inner);
+        // A task of its own, as others' accepts go on when this operator's connection is lost.
+        tokio::spawn(async move {
+            inner.drain().await;
+            if inner.queue.retain.swap(false, Ordering::Relaxed) {
+                // What is not removed now is removed after the next checkpoint.
+                let _ = inner.retain().await;
+            }
+        });
+        let unknown = || Error::Unknown(request.accept_id.clone());
+        answered.await.unwrap_or_else(|_| Err(unknown()))
+    }
+}
+
+/// Changes that one swap moves the head over.
+struct Batch {
+    tip: Arc<Tip>,
+    /// Newest version of the batch, or the tip.
+    version: Version,
+    digest: Digest,
+    base: Option<Base>,
+    state: State,
+    teams: BTreeSet<TeamName>,
+    changes: Vec<(Waiting, Link, Vec<u8>)>,
+}
+
+impl Inner {
+    /// Makes versions of the accepts that wait, unless an earlier task did.
+    async fn drain(&self) {
+        let _turn = self.queue.turn.lock().await;
+        let mut waiting = self.queue.take();
+        let mut backoff = Backoff::after_loss();
         for _ in 0..MAX_ROUNDS {
-            self.check_parent(request, &tip, parent).await?;
-            let (entries, state) = plan(&request.config, &tip.state)?;
-            if entries.is_empty() {
-                return Ok(Accepted {
-                    version: tip.version,
-                    keys: Vec::new(),
-                });
+            if waiting.is_empty() {
+                return;
             }
-            let change = Change {
-                version: tip.version.next(),
-                parent: tip.digest,
-                base: self.base(&tip).await?,
-                accept_id: request.accept_id.clone(),
-                operator: request.operator.clone(),
-                teams: request.config.teams.clone(),
-                reason: request.reason.clone(),
-                at: UnixMillis::now(),
-                entries,
-                root: state.root(),
-            };
-            if let Some(accepted) = self.swap(&tip, change, state).await? {
-                return Ok(accepted);
+            let before = waiting.len();
+            waiting = self.round(waiting).await;
+            if waiting.len() < before {
+                backoff = Backoff::after_loss();
+            } else if !backoff.pause().await {
+                break;
+            }
+        }
+        for one in waiting {
+            one.answer(Err(Error::Busy(MAX_ROUNDS)));
+        }
+    }
+
+    /// Makes one batch and moves the head to it; returns the accepts that have no answer yet.
+    async fn round(&self, waiting: Vec<Waiting>) -> Vec<Waiting> {
+        let mut batch = match self.open_batch().await {
+            Ok(batch) => batch,
+            Err(error) => return refuse(waiting, &error),
+        };
+        let mut later = Vec::new();
+        for one in waiting {
+            if let Some(one) = self.add(&mut batch, one).await {
+                later.push(one);
             }
-            tip = self.tip().await?;
         }
-        Err(Error::Busy(MAX_ROUNDS))
+        if batch.changes.is_empty() {
+            return later;
+        }
+        let mut lost = self.commit(batch).await;
+        lost.extend(later);
+        lost
+    }
+
+    /// Starts a batch on the head, and writes a due checkpoint.
+    async fn open_batch(&self) -> Result<Batch, Error> {
+        let tip = self.tip().await?;
+        let newest = tip.change.as_ref().and_then(|change| change.base);
+        let since = newest.map_or(0, |base| base.version.get());
+        let mut base = newest;
+        if tip.version.get() - since >= CHECKPOINT_INTERVAL {
+            base = Some(checkpoint::write(&self.calls, &tip).await?);
+        }
+        Ok(Batch {
+            version: tip.version,
+            digest: tip.digest,
+            base,
+            state: tip.state.clone(),
+            teams: BTreeSet::new(),
+            changes: Vec::new(),
+            tip,
+        })
+    }
+
+    /// Adds one accept to `batch` or answers it.
+    ///
+    /// Returns the accept if its answer depends on whether the batch is accepted.
+    async fn add(&self, batch: &mut Batch, mut one: Waiting) -> Option<Waiting> {
+        let twice =
+            |change: &(Waiting, Link, Vec<u8>)| change.0.request.accept_id == one.request.accept_id;
+        let overlaps = one
+            .request
+            .config
+            .teams
+            .iter()
+            .any(|team| batch.teams.contains(team));
+        let parent = *one.parent.get_or_insert(batch.tip.version);
+        if overlaps || batch.changes.iter().any(twice) {
+            return Some(one);
+        }
+        match self.settle(&batch.tip, &one.request.accept_id).await {
+            Ok(None) => {}
+            Ok(Some(change)) => {
+                let result = check_same(&change, &one);
+                one.answer(result);
+                return None;
+            }
+            Err(error) => {
+                one.answer(Err(error));
+                return None;
+            }
+        }
+        if let Err(error) = self.check_parent(&one.request, &batch.tip, parent).await {
+            one.answer(Err(error));
+            return None;
+        }
+        match plan(&one.request.config, &batch.state) {
+            Ok(planned) if !planned.entries.is_empty() => batch.push(one, planned),
+            // The answer stands only if the batch before it is accepted.
+            _ if !batch.changes.is_empty() => return Some(one),
+            Ok(_) => one.answer(Ok(Accepted {
+                version: batch.version,
+                keys: Vec::new(),
+            })),
+            Err(error) => one.answer(Err(error)),
+        }
+        None
     }
 
     /// Refuses a configuration whose own parts changed since its parent.
@@ -115,16 +276,18 @@
         if parent > tip.version {
             return Err(Error::NoVersion(parent));
         }
-        let mut keys = BTreeSet::new();
-        for change in self.since(tip, parent).await? {
-            if change
-                .teams
+        let teams = &request.config.teams;
+        let keys = if tip.version.get() - parent.get() > MAX_COMPARED {
+            let before = self.state_at(tip, parent).await?;
+            differing(&before, &tip.state, teams)
+        } else {
+            let links = self.range(parent, tip.version, tip.digest).await?;
+            let own = links
                 .iter()
-                .any(|team| request.config.teams.contains(team))
-            {
-                keys.extend(change.entries.iter().map(|entry| entry.key.clone()));
-            }
-        }
+                .filter(|link| link.change.teams.iter().any(|team| teams.contains(team)));
+            own.flat_map(|link| link.change.entries.iter().map(|entry| entry.key.clone()))
+                .collect()
+        };
         if keys.is_empty() {
             return Ok(());
         }
@@ -135,153 +298,123 @@
         })
     }
 
-    /// Returns the checkpoint to name in the change after `tip`, and writes a due one.
-    async fn base(&self, tip: &Tip) -> Result<Option<Base>, Error> {
-        let newest = tip.change.as_ref().and_then(|change| change.base);
-        let since = newest.map_or(0, |base| base.version.get());
-        if tip.version.get() - since < CHECKPOINT_INTERVAL {
-            return Ok(newest);
-        }
-        let base = checkpoint::write(&*self.store, tip.version, &tip.state).await?;
-        Ok(Some(base))
-    }
-
-    /// Writes `change` and moves the head to it; returns `None` if the head moved meanwhile.
-    async fn swap(
-        &self,
-        tip: &Tip,
-        change: Change,
-        state: State,
-    ) -> Result<Option<Accepted>, Error> {
-        let bytes = change.to_bytes();
-        if bytes.len() > MAX_CHANGE_BYTES {
-            return Err(Error::Store(store::Error::TooLarge(bytes.len())));
-        }
-        let digest = Digest::of(&bytes);
-        self.store
-            .put(&change_key(digest), bytes, Expect::Any, None)
-            .await?;
+    /// Writes the changes of `batch` and moves the head to the last one.
+    ///
+    /// Returns its accepts if another process moved the head meanwhile.
+    async fn commit(&self, batch: Batch) -> Vec<Waiting> {
+        let parts = batch
+            .changes
+            .iter()
+            .flat_map(|(_, link, bytes)| link::split(link, bytes));
+        let puts = parts.map(async |(key, value)| self.calls.put_content(&key, value).await);
+        let written = try_join_all(puts).await;
         let head = Head {
-            version: change.version,
-            digest,
+            version: batch.version,
+            digest: batch.digest,
+        };
+        let swap = match written {
+            Ok(_) => self.move_head(&batch.tip, &head).await,
+            Err(error) => Err(error.into()),
         };
-        match self.move_head(tip, &head, &change.accept_id).await? {
-            Put::Done(revision) => {
-                let accepted = Accepted::of(&change);
-                self.keep(&Arc::new(Tip {
-                    version: change.version,
-                    digest,
-                    change: Some(Arc::new(change)),
-                    state,
-                    revision: Some(revision),
-                }));
-                Ok(Some(accepted))
+        match swap {
+            Ok(Swap::Done(revision)) => {
+                self.finish(batch, revision);
+                Vec::new()
             }
-            Put::Conflict => Ok(None),
-        }
-    }
-
-    /// Moves the head by compare-and-swap, and settles a lost answer.
-    ///
-    /// The swap names the revision that it replaces, so repeating it cannot take effect twice, and
-    /// once the head has another revision no earlier copy of it can take effect any more.
-    async fn move_head(&self, tip: &Tip, head: &Head, accept_id: &AcceptId) -> Result<Put, Error> {
-        let expect = tip.revision.map_or(Expect::Absent, Expect::At);
-        let value = serde_json::to_vec(head).map_err(|_| Error::Damaged(HEAD_KEY.into()))?;
-        let deadline = Instant::now() + SETTLE_TIMEOUT;
-        let mut unsettled = false;
-        loop {
-            match self.store.put(HEAD_KEY, value.clone(), expect, None).await {
-                Ok(Put::Conflict) if unsettled => {
-                    return self.settle_conflict(head, accept_id).await;
+            Ok(Swap::Lost) => batch.into_waiting(),
+            Ok(Swap::Unknown) => {
+                for one in batch.into_waiting() {
+                    let unknown = Error::Unknown(one.request.accept_id.clone());
+                    one.answer(Err(unknown));
                 }
-                Ok(put) => return Ok(put),
-                Err(store::Error::Unknown(_)) => unsettled = true,
-                Err(error) if !unsettled => return Err(error.into()),
-                Err(_) => {}
-            }
-            if Instant::now() >= deadline {
-                return Err(Error::Unknown(accept_id.clone()));
+                Vec::new()
             }
-            sleep(SETTLE_PAUSE).await;
-        }
-    }
-
-    /// Tells whether an earlier copy of the swap moved the head before another one found it moved.
-    async fn settle_conflict(&self, head: &Head, accept_id: &AcceptId) -> Result<Put, Error> {
-        let unknown = |_| Error::Unknown(accept_id.clone());
-        let tip = self.tip().await.map_err(unknown)?;
-        let changes = self.since(&tip, Version::new(head.version.get() - 1)).await;
-        let first = changes.map_err(unknown)?.into_iter().next();
-        let digest = first.map(|change| Digest::of(&change.to_bytes()));
-        match (digest, tip.revision) {
-            (Some(digest), Some(revision)) if digest == head.digest => Ok(Put::Done(revision)),
-            _ => Ok(Put::Conflict),
+            Err(error) => refuse(batch.into_waiting(), &error),
         }
     }
-}
 
-/// Returns what `config` changes in `state`, and the state after it.
-fn plan(config: &Config, state: &State) -> Result<(Vec<Entry>, State), Error> {
-    let mut problems = Vec::new();
-    let mut next = state.clone();
-    let mut entries = Vec::new();
-    let mut kept = BTreeSet::new();
-    for item in config.items() {
-        let key = item.key();
-        if let Some(problem) = check_owner(config, state, &key, item.team()) {
-            problems.push(problem);
-            continue;
+    /// Keeps and answers what a batch made.
+    fn finish(&self, batch: Batch, revision: Option<store::Revision>) {
+        let first = batch
+            .changes
+            .first()
+            .map(|(_, link, _)| Arc::clone(&link.change));
+        let mut last = None;
+        for (one, link, _) in batch.changes {
+            self.keep_link(&link);
+            one.answer(Ok(Accepted::of(&link.change)));
+            last = Some(link.change);
         }
-        if !kept.insert(key.clone()) {
-            problems.push(Problem::new(
-                key.to_string(),
-                "the name is used twice",
-                "rename one of the two",
-            ));
-            continue;
+        if revision.is_some() {
+            self.keep(&Arc::new(Tip {
+                version: batch.version,
+                digest: batch.digest,
+                change: last,
+                state: batch.state,
+                revision,
+            }));
         }
-        let piece = Arc::new(Piece::new(item));
-        if state.get(&key).is_none_or(|old| old.digest != piece.digest) {
-            entries.push(Entry {
-                key: key.clone(),
-                item: Some(piece.item.clone()),
-            });
-            next.set(&key, Some(piece));
+        if first.is_some_and(|first| names_new_checkpoint(&first)) {
+            self.queue.retain.store(true, Ordering::Relaxed);
         }
     }
-    for (key, piece) in state.pieces() {
-        if config.teams.contains(piece.item.team()) && !kept.contains(key) {
-            entries.push(Entry {
-                key: key.clone(),
-                item: None,
-            });
-            next.set(key, None);
+}
+
+impl Batch {
+    /// Adds the change that `plan` makes of `one`.
+    fn push(&mut self, one: Waiting, plan: Plan) {
+        let change = Change {
+            version: self.version.next(),
+            parent: self.digest,
+            base: self.base,
+            accept_id: one.request.accept_id.clone(),
+            request: one.digest,
+            operator: one.request.operator.clone(),
+            teams: one.request.config.teams.clone(),
+            reason: one.request.reason.clone(),
+            at: UnixMillis::now(),
+            entries: plan.entries,
+            root: plan.state.root(),
+        };
+        let (link, bytes) = Link::new(change);
+        if bytes.len() > MAX_CHANGE_BYTES {
+            one.answer(Err(Error::TooLarge(bytes.len())));
+            return;
         }
+        self.version = link.change.version;
+        self.digest = link.digest;
+        self.state = plan.state;
+        self.teams.extend(link.change.teams.iter().cloned());
+        self.changes.push((one, link, bytes));
     }
-    problems.extend(validate(&next));
-    if !problems.is_empty() {
-        return Err(Error::Invalid(Problems(problems)));
+
+    fn into_waiting(self) -> Vec<Waiting> {
+        self.changes.into_iter().map(|(one, _, _)| one).collect()
     }
-    Ok((entries, next))
 }
 
-/// Checks that an item belongs to a named team and does not take another team's name.
-fn check_owner(config: &Config, state: &State, key: &Key, team: &TeamName) -> Option<Problem> {
-    if !config.teams.contains(team) {
-        return Some(Problem::new(
-            format!("{key}.team"),
-            format!("team `{team}` is not among the configuration's teams"),
-            "add it to `teams` or correct the item's team",
-        ));
+/// Returns whether a checkpoint was written for `change`.
+fn names_new_checkpoint(change: &Change) -> bool {
+    change
+        .base
+        .is_some_and(|base| base.version.next() == change.version)
+}
+
+/// Returns what was accepted under an id before, if it was the same configuration.
+fn check_same(change: &Change, one: &Waiting) -> Result<Accepted, Error> {
+    if change.request == one.digest {
+        return Ok(Accepted::of(change));
     }
-    let owner = state.get(key).map(|piece| piece.item.team())?;
-    if config.teams.contains(owner) {
-        return None;
+    Err(Error::Reused {
+        accept_id: change.accept_id.clone(),
+        version: change.version,
+    })
+}
+
+/// Answers all with an error that means that nothing was accepted.
+fn refuse(waiting: Vec<Waiting>, error: &Error) -> Vec<Waiting> {
+    for one in waiting {
+        one.answer(Err(error.clone()));
     }
-    Some(Problem::new(
-        key.to_string(),
-        format!("the name belongs to team `{owner}`"),
-        "choose another name",
-    ))
+    Vec::new()
 }
--- a/crates/ledger/src/checkpoint.rs
+++ b/crates/ledger/src/checkpoint.rs
@@ -1,42 +1,43 @@
 //! Whole states, kept now and then so that a version can be loaded without its whole history.
 
 use model::{Base, Item, State};
-use store::{Expect, Store};
 
-use crate::Error;
+use crate::calls::Calls;
+use crate::{Error, Tip};
 
 /// Largest part of a checkpoint, in bytes.
 const PART_BYTES: usize = 512 << 10;
 
-/// Writes `state` as the checkpoint of its version, and returns where it is.
-pub(crate) async fn write(
-    store: &dyn Store,
-    version: model::Version,
-    state: &State,
-) -> Result<Base, Error> {
-    let parts = split(state);
+/// Writes the state of `tip` as a checkpoint, and returns where it is.
+pub(crate) async fn write(calls: &Calls, tip: &Tip) -> Result<Base, Error> {
+    let parts = split(&tip.state);
     let base = Base {
-        version,
-        root: state.root(),
+        version: tip.version,
+        digest: tip.digest,
+        root: tip.state.root(),
         parts: parts.len() as u32,
     };
-    for (i, part) in parts.into_iter().enumerate() {
-        store
-            .put(&part_key(&base, i as u32), part, Expect::Any, None)
-            .await?;
+    for (i, part) in parts.iter().enumerate() {
+        calls.put_content(&part_key(&base, i as u32), part).await?;
     }
     Ok(base)
 }
 
 /// Reads the checkpoint at `base`.
-pub(crate) async fn read(store: &dyn Store, base: Base) -> Result<State, Error> {
+///
+/// # Errors
+///
+/// Fails with [`Error::NoVersion`] if it is no longer kept.
+pub(crate) async fn read(calls: &Calls, base: Base) -> Result<State, Error> {
     let mut state = Vec::new();
     for i in 0..base.parts {
         let key = part_key(&base, i);
-        let entry = store.get(&key).await?;
-        let damaged = || Error::Damaged(key.clone());
-        let entry = entry.ok_or_else(damaged)?;
-        let items: Vec<Item> = serde_json::from_slice(&entry.value).map_err(|_| damaged())?;
+        let entry = calls
+            .get(&key)
+            .await?
+            .ok_or(Error::NoVersion(base.version))?;
+        let items: Vec<Item> =
+            serde_json::from_slice(&entry.value).map_err(|_| Error::Damaged(key))?;
         state.extend(items);
     }
     let state = State::from_items(state);
@@ -46,6 +47,14 @@
     Ok(state)
 }
 
+/// Deletes the checkpoint at `base`.
+pub(crate) async fn delete(calls: &Calls, base: Base) -> Result<(), store::Error> {
+    for i in 0..base.parts {
+        calls.delete_content(&part_key(&base, i)).await?;
+    }
+    Ok(())
+}
+
 /// Splits a state into JSON arrays of bounded size.
 fn split(state: &State) -> Vec<Vec<u8>> {
     let mut parts = Vec::new();
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -1,9 +1,9 @@
 //! Why the ledger could not do what was asked.
 
-use model::{AcceptId, Key, Problems, Version};
+use model::{AcceptId, Key, MAX_CHANGE_BYTES, Problems, Version};
 
 /// A failed call to the ledger.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, Clone, thiserror::Error)]
 pub enum Error {
     /// The store failed and nothing was accepted.
     #[error("not accepted: {0}")]
@@ -31,8 +31,25 @@
          `sardinestall accept --accept-id {0}` with the same file settles it"
     )]
     Unknown(AcceptId),
-    /// Other operators moved the head each time; nothing was accepted.
-    #[error("not accepted, head moved {0} times meanwhile; accept again")]
+    /// The accept id stands for another configuration already; nothing was accepted.
+    #[error(
+        "not accepted, accept id `{accept_id}` was used for another configuration in version \
+         {version}; accept again under a new id"
+    )]
+    Reused {
+        /// Accept id.
+        accept_id: AcceptId,
+        /// Version that was accepted under it.
+        version: Version,
+    },
+    /// The change is too large to be distributed; nothing was accepted.
+    #[error(
+        "not accepted, the change has {0} bytes, over the limit of {MAX_CHANGE_BYTES}; \
+         accept it in several steps"
+    )]
+    TooLarge(usize),
+    /// Other operators moved the head each time, or too many wait; nothing was accepted.
+    #[error("not accepted, too many accepts at once ({0} tries); accept again")]
     Busy(u32),
     /// The version does not exist.
     #[error("version {0} does not exist or is no longer kept; see `sardinestall log`")]
--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -4,8 +4,8 @@
 
 use crate::{AcceptId, Digest, Item, Key, OperatorName, TeamName, UnixMillis, Version};
 
-/// Largest serialised change, in bytes; the platform's store takes values up to 1 MB.
-pub const MAX_CHANGE_BYTES: usize = 1_000_000;
+/// Largest serialised change, in bytes. The ledger stores it in parts that the store takes.
+pub const MAX_CHANGE_BYTES: usize = 8 << 20;
 
 /// One item that a change puts or removes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,6 +21,8 @@
 pub struct Base {
     /// Version of the state.
     pub version: Version,
+    /// Digest of the change that made the version.
+    pub digest: Digest,
     /// Root digest of the state.
     pub root: Digest,
     /// Number of parts that it is split into.
@@ -38,6 +40,8 @@
     pub base: Option<Base>,
     /// Id under which the accept was asked for.
     pub accept_id: AcceptId,
+    /// Digest of the accepted configuration, by which a repeated accept is told from another one.
+    pub request: Digest,
     /// Operator who accepted.
     pub operator: OperatorName,
     /// Teams whose parts the accept replaced.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -8,7 +8,7 @@
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
 use crate::{
-    DomainName, Millis, PoolName, RouteName, ServiceName, Size, TeamName, Version, Weight,
+    Digest, DomainName, Millis, PoolName, RouteName, ServiceName, Size, TeamName, Version, Weight,
 };
 
 /// Format number that this release reads and writes.
@@ -44,6 +44,23 @@
         let routes = self.routes.iter().cloned().map(Item::Route);
         services.chain(pools).chain(routes)
     }
+
+    /// Returns the digest of the content, whatever version it was made against.
+    ///
+    /// # Panics
+    ///
+    /// Never: configurations always serialise.
+    pub fn digest(&self) -> Digest {
+        let content = (
+            self.format,
+            &self.teams,
+            &self.services,
+            &self.pools,
+            &self.routes,
+        );
+        let json = serde_json::to_vec(&content).expect("configurations serialise to JSON");
+        Digest::of(&json)
+    }
 }
 
 /// A service: what upstreams announce themselves for.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,4 +26,4 @@
 pub use secret::Secret;
 pub use state::{Piece, State, StateError};
 pub use unit::{Incarnation, Millis, Size, UnitError, UnixMillis, Version, Weight};
-pub use validate::validate;
+pub use validate::{validate, validate_changed};
--- a/crates/model/src/validate.rs
+++ b/crates/model/src/validate.rs
@@ -1,5 +1,7 @@
 //! Checks a whole state, as `check`, `accept` and every daemon do.
 
+use std::collections::BTreeSet;
+
 use crate::{Item, Key, Kind, PathMatch, Pool, Problem, Route, Service, State};
 
 /// Longest time-out that a route may give a call, in milliseconds.
@@ -12,16 +14,60 @@
 pub fn validate(state: &State) -> Vec<Problem> {
     let mut problems = Vec::new();
     for (key, piece) in state.pieces() {
-        match &piece.item {
-            Item::Service(service) => check_service(key, service, &mut problems),
-            Item::Pool(pool) => check_pool(key, pool, state, &mut problems),
-            Item::Route(route) => check_route(key, route, state, &mut problems),
+        check_item(key, &piece.item, state, &mut problems);
+    }
+    problems.sort_by(|a, b| a.place.cmp(&b.place));
+    problems
+}
+
+/// Returns every problem of `state`, which was made from a valid state by changes to `keys`.
+///
+/// Checks only the changed items and those that refer to removed ones, and finds what
+/// [`validate`] finds.
+pub fn validate_changed(state: &State, keys: &BTreeSet<Key>) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let mut removed = BTreeSet::new();
+    for key in keys {
+        match state.get(key) {
+            Some(piece) => check_item(key, &piece.item, state, &mut problems),
+            None if key.kind != Kind::Route => {
+                removed.insert((key.kind, key.name.as_str()));
+            }
+            None => {}
+        }
+    }
+    if !removed.is_empty() {
+        let referring = state
+            .pieces()
+            .filter(|(key, piece)| !keys.contains(key) && refers_to(&piece.item, &removed));
+        for (key, piece) in referring {
+            check_item(key, &piece.item, state, &mut problems);
         }
     }
     problems.sort_by(|a, b| a.place.cmp(&b.place));
     problems
 }
 
+/// Returns whether `item` refers to one of `names`.
+fn refers_to(item: &Item, names: &BTreeSet<(Kind, &str)>) -> bool {
+    match item {
+        Item::Service(_) => false,
+        Item::Pool(pool) => names.contains(&(Kind::Service, pool.service.as_str())),
+        Item::Route(route) => route
+            .to
+            .iter()
+            .any(|to| names.contains(&(Kind::Pool, to.pool.as_str()))),
+    }
+}
+
+fn check_item(key: &Key, item: &Item, state: &State, problems: &mut Vec<Problem>) {
+    match item {
+        Item::Service(service) => check_service(key, service, problems),
+        Item::Pool(pool) => check_pool(key, pool, state, problems),
+        Item::Route(route) => check_route(key, route, state, problems),
+    }
+}
+
 fn check_service(key: &Key, service: &Service, problems: &mut Vec<Problem>) {
     if service.slots == 0 {
         problems.push(Problem::new(
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -7,7 +7,9 @@
 use async_trait::async_trait;
 use model::Millis;
 use serde::{Deserialize, Serialize};
-use store::{Changes, Entry, Error, Expect, LeaseId, MAX_VALUE_BYTES, Put, Revision, Store};
+use store::{
+    Changes, Entry, Error, Expect, LeaseId, MAX_PAGE_BYTES, MAX_VALUE_BYTES, Put, Revision, Store,
+};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -322,8 +324,16 @@
         let mut inner = self.lock();
         inner.lapse();
         let found = inner.below(prefix).filter(|(key, _)| key.as_str() > after);
-        let found = found.take(limit as usize);
-        Ok(found.map(|(key, value)| entry(key, value)).collect())
+        let mut page = Vec::new();
+        let mut size = 0;
+        for (key, value) in found.take(limit as usize) {
+            page.push(entry(key, value));
+            size += value.bytes.len();
+            if size >= MAX_PAGE_BYTES {
+                break;
+            }
+        }
+        Ok(page)
     }
 
     async fn put(
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,6 +19,9 @@
 /// Largest value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
+/// Size after which a page of [`Store::list`] ends, in bytes.
+pub const MAX_PAGE_BYTES: usize = 4 << 20;
+
 /// Revision of a key: grows with every write to the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(pub u64);
@@ -82,6 +85,8 @@
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error>;
 
     /// Reads up to `limit` keys that begin with `prefix` and follow `after`, in order.
+    ///
+    /// A page ends early once it holds [`MAX_PAGE_BYTES`]; only an empty page is surely the last.
     async fn list(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Entry>, Error>;
 
     /// Writes one key if it is as expected; the key lives by `lease` where one is given.
