--- a/crates/ledger/src/accept.rs
+++ b/crates/ledger/src/accept.rs
@@ -249,7 +249,10 @@
                 return None;
             }
         }
-        if let Err(error) = self.check_parent(&one.request, &batch.tip, parent).await {
+        if let Err(error) = self
+            .check_parent(&one.request.config, &batch.tip, parent)
+            .await
+        {
             one.answer(Err(error));
             return None;
         }
@@ -267,16 +270,16 @@
     }
 
     /// Refuses a configuration whose own parts changed since its parent.
-    async fn check_parent(
+    pub(crate) async fn check_parent(
         &self,
-        request: &Request,
+        config: &Config,
         tip: &Tip,
         parent: Version,
     ) -> Result<(), Error> {
         if parent > tip.version {
             return Err(Error::NoVersion(parent));
         }
-        let teams = &request.config.teams;
+        let teams = &config.teams;
         let keys = if tip.version.get() - parent.get() > MAX_COMPARED {
             let before = self.state_at(tip, parent).await?;
             differing(&before, &tip.state, teams)
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 mod cache;
 mod calls;
 mod chain;
+mod check;
 mod checkpoint;
 mod error;
 mod link;
@@ -18,5 +19,6 @@
 
 pub use accept::{Accepted, Request};
 pub use chain::{Ledger, Tip};
+pub use check::check;
 pub use error::Error;
 pub use retention::Retention;
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use model::{Config, Entry, Key, Piece, Problem, Problems, State, TeamName, validate_changed};
+use model::{
+    Config, Entry, Key, Piece, Places, Problem, Problems, State, TeamName, validate_changed,
+};
 
 use crate::Error;
 
@@ -59,7 +61,9 @@
     let keys = entries.iter().map(|entry| entry.key.clone()).collect();
     problems.extend(validate_changed(&next, &keys));
     if !problems.is_empty() {
-        return Err(Error::Invalid(Problems(problems)));
+        let places = Places::of(config);
+        let problems = problems.into_iter().map(|problem| places.locate(problem));
+        return Err(Error::Invalid(Problems(problems.collect())));
     }
     Ok(Plan {
         entries,
