--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -5,6 +5,7 @@
 mod compile;
 mod history;
 mod snapshot;
+mod step;
 mod table;
 mod upstream;
 
--- a/crates/table/src/snapshot.rs
+++ b/crates/table/src/snapshot.rs
@@ -51,8 +51,8 @@
     /// Digest of the version's change.
     pub digest: Digest,
     pub(crate) pools: Vec<Arc<PoolTable>>,
-    pub(crate) routes: Vec<Arc<RouteTable>>,
-    pub(crate) hosts: HashMap<String, HostTable>,
+    pub(crate) routes: Arc<[Arc<RouteTable>]>,
+    pub(crate) hosts: Arc<HashMap<Arc<str>, Arc<HostTable>>>,
 }
 
 impl Snapshot {
@@ -62,8 +62,8 @@
             version: Version::default(),
             digest: Digest::ZERO,
             pools: Vec::new(),
-            routes: Vec::new(),
-            hosts: HashMap::new(),
+            routes: Arc::from([]),
+            hosts: Arc::default(),
         }
     }
 
--- /dev/null
+++ b/crates/table/src/step.rs
@@ -0,0 +1,252 @@
+//! Makes a snapshot from the one before it, for the items that changed alone.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use member::Members;
+use model::{Item, Key, Kind, PathMatch, Pool, PoolName, Problems, Route, Service, State};
+
+use crate::compile::{resolve, select, service_of};
+use crate::snapshot::{HostTable, PoolIndex, PoolTable, RouteIndex, RouteTable, Snapshot};
+
+/// Returns the snapshot of `state`, which differs from the state of `old` in `keys` alone.
+///
+/// Shares with `old` what did not change. The state must be valid.
+///
+/// # Errors
+///
+/// Fails as a whole if any reference does not resolve.
+pub(crate) fn step(
+    old: &Snapshot,
+    state: &State,
+    keys: &BTreeSet<Key>,
+    members: &Members,
+) -> Result<Snapshot, Problems> {
+    let mut draft = Draft {
+        pools: old.pools.clone(),
+        routes: old.routes.to_vec(),
+        hosts: (*old.hosts).clone(),
+    };
+    // Pools go last, when no route refers to a removed one any more.
+    for key in keys {
+        let item = state.get(key).map(|piece| &piece.item);
+        match item {
+            Some(Item::Service(service)) => draft.set_service(service),
+            Some(Item::Pool(pool)) => draft.set_pool(pool, state, members)?,
+            _ => {}
+        }
+    }
+    for key in keys.iter().filter(|key| key.kind == Kind::Route) {
+        match state.get(key).map(|piece| &piece.item) {
+            Some(Item::Route(route)) => draft.set_route(route)?,
+            _ => draft.remove_route(&key.name),
+        }
+    }
+    for key in keys.iter().filter(|key| key.kind == Kind::Pool) {
+        if state.get(key).is_none() {
+            draft.remove_pool(&key.name);
+        }
+    }
+    Ok(Snapshot {
+        version: old.version,
+        digest: old.digest,
+        pools: draft.pools,
+        routes: draft.routes.into(),
+        hosts: Arc::new(draft.hosts),
+    })
+}
+
+/// A snapshot in the making.
+struct Draft {
+    pools: Vec<Arc<PoolTable>>,
+    routes: Vec<Arc<RouteTable>>,
+    hosts: HashMap<Arc<str>, Arc<HostTable>>,
+}
+
+impl Draft {
+    fn set_service(&mut self, service: &Service) {
+        for pool in &mut self.pools {
+            if pool.pool.service == service.name {
+                *pool = Arc::new(PoolTable {
+                    service: service.clone(),
+                    ..(**pool).clone()
+                });
+            }
+        }
+    }
+
+    fn set_pool(&mut self, pool: &Pool, state: &State, members: &Members) -> Result<(), Problems> {
+        let service = service_of(pool, state)?;
+        let place = self.find_pool(&pool.name);
+        let known = place.map(|index| &*self.pools[index.0].upstreams);
+        let records = members.of_service(&pool.service);
+        let table = Arc::new(PoolTable {
+            upstreams: select(pool, &records, known.unwrap_or_default()),
+            pool: pool.clone(),
+            service: service.clone(),
+        });
+        match place {
+            Some(index) => self.pools[index.0] = table,
+            None => self.pools.push(table),
+        }
+        Ok(())
+    }
+
+    /// Removes a pool that no route refers to; the last one takes its place.
+    fn remove_pool(&mut self, name: &str) {
+        let found = self
+            .pools
+            .iter()
+            .position(|pool| pool.pool.name.as_str() == name);
+        let Some(place) = found else {
+            return;
+        };
+        self.pools.swap_remove(place);
+        let (from, to) = (PoolIndex(self.pools.len()), PoolIndex(place));
+        for route in &mut self.routes {
+            if route.targets.iter().any(|(index, _)| *index == from) {
+                let moved = Arc::make_mut(route);
+                let targets = moved.targets.iter_mut();
+                targets
+                    .filter(|(index, _)| *index == from)
+                    .for_each(|(index, _)| *index = to);
+            }
+        }
+    }
+
+    fn set_route(&mut self, route: &Route) -> Result<(), Problems> {
+        let table = resolve(route, |pool| self.find_pool(pool))?;
+        let found = self
+            .routes
+            .iter()
+            .position(|old| old.route.name == route.name);
+        let place = match found {
+            Some(place) => {
+                self.detach(RouteIndex(place));
+                self.routes[place] = Arc::new(table);
+                place
+            }
+            None => {
+                self.routes.push(Arc::new(table));
+                self.routes.len() - 1
+            }
+        };
+        self.attach(RouteIndex(place));
+        Ok(())
+    }
+
+    /// Removes a route; the last one takes its place.
+    fn remove_route(&mut self, name: &str) {
+        let found = self
+            .routes
+            .iter()
+            .position(|old| old.route.name.as_str() == name);
+        let Some(place) = found else {
+            return;
+        };
+        self.detach(RouteIndex(place));
+        let last = self.routes.len() - 1;
+        if place == last {
+            self.routes.pop();
+            return;
+        }
+        self.detach(RouteIndex(last));
+        self.routes.swap_remove(place);
+        self.attach(RouteIndex(place));
+    }
+
+    /// Adds the route at `index` to the tables of its hosts.
+    fn attach(&mut self, index: RouteIndex) {
+        let route = &self.routes[index.0];
+        for host in &route.route.hosts {
+            let host = host.to_ascii_lowercase();
+            let table = self.hosts.entry(host.into()).or_default();
+            let list = Arc::make_mut(table).list(route);
+            list.push(index);
+            sort(list, &self.routes);
+        }
+    }
+
+    /// Takes the route at `index` out of the tables of its hosts.
+    fn detach(&mut self, index: RouteIndex) {
+        let route = &self.routes[index.0];
+        for host in &route.route.hosts {
+            let host = host.to_ascii_lowercase();
+            let Some(table) = self.hosts.get_mut(host.as_str()) else {
+                continue;
+            };
+            let table = Arc::make_mut(table);
+            table.list(route).retain(|other| *other != index);
+            table.drop_empty(route);
+            if table.is_empty() {
+                self.hosts.remove(host.as_str());
+            }
+        }
+    }
+
+    fn find_pool(&self, name: &PoolName) -> Option<PoolIndex> {
+        let place = self.pools.iter().position(|pool| pool.pool.name == *name);
+        place.map(PoolIndex)
+    }
+}
+
+/// Returns the tables of all hosts.
+pub(crate) fn hosts(routes: &[Arc<RouteTable>]) -> HashMap<Arc<str>, Arc<HostTable>> {
+    let mut hosts: HashMap<String, HostTable> = HashMap::new();
+    for (i, route) in routes.iter().enumerate() {
+        for host in &route.route.hosts {
+            let table = hosts.entry(host.to_ascii_lowercase()).or_default();
+            table.list(route).push(RouteIndex(i));
+        }
+    }
+    for table in hosts.values_mut() {
+        for list in table.exact.values_mut().chain(table.prefix.values_mut()) {
+            sort(list, routes);
+        }
+    }
+    let shared = hosts
+        .into_iter()
+        .map(|(host, table)| (host.into(), Arc::new(table)));
+    shared.collect()
+}
+
+impl HostTable {
+    /// Returns the routes at the path of `route`.
+    fn list(&mut self, route: &RouteTable) -> &mut Vec<RouteIndex> {
+        let paths = match route.route.path {
+            PathMatch::Exact(_) => &mut self.exact,
+            PathMatch::Prefix(_) => &mut self.prefix,
+        };
+        paths.entry(route.path_key().to_owned()).or_default()
+    }
+
+    /// Forgets the path of `route` if no route is left there.
+    fn drop_empty(&mut self, route: &RouteTable) {
+        if self.list(route).is_empty() {
+            let paths = match route.route.path {
+                PathMatch::Exact(_) => &mut self.exact,
+                PathMatch::Prefix(_) => &mut self.prefix,
+            };
+            paths.remove(route.path_key());
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.exact.is_empty() && self.prefix.is_empty()
+    }
+}
+
+/// Sorts routes at one path: most header conditions first, then those with methods, then by name.
+fn sort(list: &mut [RouteIndex], routes: &[Arc<RouteTable>]) {
+    list.sort_by(|a, b| {
+        let rank = |index: &RouteIndex| {
+            let route = &routes[index.0].route;
+            (
+                usize::MAX - route.headers.len(),
+                route.methods.is_empty(),
+                &route.name,
+            )
+        };
+        rank(a).cmp(&rank(b))
+    });
+}
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -5,12 +5,18 @@
 
 use arc_swap::ArcSwap;
 use member::{LinkId, Members, Record};
-use model::{Change, Digest, Problems, State, StateError, Version};
+use model::{
+    Change, Digest, Key, Problem, Problems, State, StateError, Version, validate, validate_changed,
+};
 use tokio::sync::watch;
 
 use crate::compile::{compile, refresh};
 use crate::history::History;
 use crate::snapshot::Snapshot;
+use crate::step::step;
+
+/// Changed items up to which a snapshot is made from the one before it; beyond, it is compiled anew.
+const MAX_STEP_KEYS: usize = 64;
 
 /// Why a version was not put in force. The one in force stays.
 #[derive(Debug, thiserror::Error, PartialEq)]
@@ -121,6 +127,7 @@
         let mut version = inner.version;
         let mut digest = inner.digest;
         let mut steps = Vec::new();
+        let mut keys = BTreeSet::new();
         for bytes in changes {
             let bytes = bytes.as_ref();
             let change = read(bytes)?;
@@ -136,12 +143,17 @@
             state = state.apply(&change)?;
             version = change.version;
             digest = Digest::of(bytes);
+            keys.extend(change.entries.iter().map(|entry| entry.key.clone()));
             steps.push((change, Arc::<[u8]>::from(bytes)));
         }
         let Some((last, bytes)) = steps.last() else {
             return Ok(Applied::Stale);
         };
-        self.serve(&mut inner, state, last, Arc::clone(bytes))?;
+        let whole = Whole {
+            change: Arc::clone(bytes),
+            state,
+        };
+        self.serve(&mut inner, whole, last, Some(&keys))?;
         for (change, bytes) in steps {
             inner.history.push(change.version, change.parent, bytes);
         }
@@ -166,7 +178,7 @@
         if change.version <= inner.version {
             return Ok(Applied::Stale);
         }
-        self.serve(&mut inner, whole.state, &change, whole.change)?;
+        self.serve(&mut inner, whole, &change, None)?;
         inner.history.clear();
         Ok(Applied::Now(change.version))
     }
@@ -218,30 +230,35 @@
         })
     }
 
-    /// Swaps in the snapshot of `state`; `inner` changes only if it compiles.
+    /// Swaps in the snapshot of `whole`; `inner` changes only if it compiles.
+    ///
+    /// Only the items under `keys` changed, where they are given.
     fn serve(
         &self,
         inner: &mut Inner,
-        state: State,
+        whole: Whole,
         change: &Change,
-        bytes: Arc<[u8]>,
+        keys: Option<&BTreeSet<Key>>,
     ) -> Result<(), ApplyError> {
-        let digest = Digest::of(&bytes);
-        let records = self.members.all();
+        let version = change.version;
+        let digest = Digest::of(&whole.change);
         let old = self.current.load();
-        let snapshot =
-            compile(&state, change.version, digest, &records, &old).map_err(|problems| {
-                ApplyError::Invalid {
-                    version: change.version,
-                    problems,
-                }
-            })?;
-        inner.version = change.version;
+        let compiled = match keys.filter(|keys| keys.len() <= MAX_STEP_KEYS) {
+            Some(keys) => checked(validate_changed(&whole.state, keys))
+                .and_then(|()| step(&old, &whole.state, keys, &self.members)),
+            None => checked(validate(&whole.state))
+                .and_then(|()| compile(&old, &whole.state, &self.members)),
+        };
+        let mut snapshot =
+            compiled.map_err(|problems| ApplyError::Invalid { version, problems })?;
+        snapshot.version = version;
+        snapshot.digest = digest;
+        inner.version = version;
         inner.digest = digest;
-        inner.state = state;
-        inner.change = bytes;
+        inner.state = whole.state;
+        inner.change = whole.change;
         self.current.store(Arc::new(snapshot));
-        self.version.send_replace(change.version);
+        self.version.send_replace(version);
         Ok(())
     }
 
@@ -258,8 +275,7 @@
         }
         let mut snapshot = (*self.current.load_full()).clone();
         for service in &services {
-            let records = self.members.of_service(service);
-            snapshot = refresh(&snapshot, service, &records);
+            snapshot = refresh(&snapshot, service, &self.members);
         }
         self.current.store(Arc::new(snapshot));
     }
@@ -269,6 +285,13 @@
     }
 }
 
+fn checked(problems: Vec<Problem>) -> Result<(), Problems> {
+    match problems.is_empty() {
+        true => Ok(()),
+        false => Err(Problems(problems)),
+    }
+}
+
 fn read(bytes: &[u8]) -> Result<Change, ApplyError> {
     Change::from_bytes(bytes).map_err(|error| ApplyError::Unreadable(error.to_string()))
 }
--- a/crates/table/src/upstream.rs
+++ b/crates/table/src/upstream.rs
@@ -39,11 +39,15 @@
 }
 
 impl Upstream {
-    /// Returns the upstream of `record`, with the observations of `known` if it is the same one.
-    pub(crate) fn of(record: &Record, known: Option<&Arc<Self>>) -> Self {
+    /// Returns the upstream of `record`: `known` itself if nothing changed, else one with the
+    /// observations of `known` if it is the same one.
+    pub(crate) fn of(record: &Record, known: Option<&Arc<Self>>) -> Arc<Self> {
         let same =
             known.filter(|known| known.vm == record.vm && known.incarnation == record.incarnation);
-        Self {
+        if let Some(known) = same.filter(|known| known.is_like(record)) {
+            return Arc::clone(known);
+        }
+        Arc::new(Self {
             vm: record.vm.clone(),
             incarnation: record.incarnation,
             gate: record.gate,
@@ -55,6 +59,15 @@
             observed: same
                 .map(|known| Arc::clone(&known.observed))
                 .unwrap_or_default(),
-        }
+        })
+    }
+
+    /// Returns whether `record` says of this upstream what is known.
+    fn is_like(&self, record: &Record) -> bool {
+        self.gate == record.gate
+            && self.domain == record.domain
+            && self.region == record.region
+            && self.slots == record.slots
+            && self.warming == (record.state == UpstreamState::Warming)
     }
 }
