--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -110,6 +110,7 @@
             parent: Digest::ZERO,
             base: None,
             accept_id: "a".parse().expect("a valid id"),
+            request: Digest::ZERO,
             operator: "test".parse().expect("a valid name"),
             teams: Vec::new(),
             reason: String::new(),
--- a/crates/proof/tests/scenarios.rs
+++ b/crates/proof/tests/scenarios.rs
@@ -155,7 +155,10 @@
         let json: serde_json::Value = serde_json::from_slice(&head.value)?;
         let digest = json["digest"].as_str().ok_or("no digest")?;
         let change = store
-            .get(&format!("change/{digest}"))
+            .get(&change_key(
+                json["version"].as_u64().ok_or("no version")?,
+                digest,
+            ))
             .await?
             .ok_or("no change")?;
         let change = model::Change::from_bytes(&change.value)?;
@@ -163,7 +166,12 @@
         let bytes = bad.to_bytes();
         let digest = model::Digest::of(&bytes);
         store
-            .put(&format!("change/{digest}"), bytes, Expect::Any, None)
+            .put(
+                &change_key(bad.version.get(), &digest.to_string()),
+                bytes,
+                Expect::Any,
+                None,
+            )
             .await?;
         let value = serde_json::json!({"version": bad.version, "digest": digest});
         store
@@ -271,6 +279,11 @@
     }
 }
 
+/// Returns the key under which a change of one part is stored.
+fn change_key(version: u64, digest: &str) -> String {
+    format!("change/{version:020}/{digest}/0000")
+}
+
 /// Returns a change after `last`, whose digest is `digest`, that adds a route to a missing pool.
 fn bad_change(last: model::Change, digest: &str) -> Result<model::Change, Failure> {
     let mut entries = last.entries.clone();
