Hold a drain for one start of the upstream, whatever the daemon misses

Cause: a drain ended when the upstream was silent for 3 s. A daemon that stood still for longer hears of its upstream late, took the next heartbeat for a new upstream and dropped the drain: the scenario drain_survives_a_frozen_daemon saw 15 calls begin after the drain. Ruled out: a race of the expiry alone, since any pause over 3 s ends the announcement.

Change: an announcement carries the start of the upstream's process, and a drain holds for that start.

--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use model::{Millis, ServiceName};
+use model::{Incarnation, Millis, ServiceName};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -34,6 +34,16 @@
     pub connections: u32,
     /// State.
     pub state: Readiness,
+    /// Start of the upstream's process; an operator's drain holds for one start.
+    #[serde(default)]
+    pub start: Incarnation,
+}
+
+impl Announcement {
+    /// Returns whether `other` comes from the same start of the same upstream.
+    fn is_same(&self, other: &Self) -> bool {
+        self.address == other.address && self.start == other.start
+    }
 }
 
 /// The announced upstream and when it is no longer believed.
@@ -77,16 +87,17 @@
 
     /// Takes an upstream's word.
     ///
-    /// An operator's drain holds on until the upstream falls silent or is another one.
+    /// An operator's drain holds on until another start of the upstream announces itself. Silence
+    /// does not end it: a daemon that stood still hears of its upstream late.
     pub fn announce(&self, announcement: Announcement) {
-        let now = Instant::now();
+        let expires = Instant::now() + self.silence.duration();
         self.announced.send_modify(|announced| {
-            let drained = announced.as_ref().is_some_and(|old| {
-                old.drained && old.expires > now && old.announcement.address == announcement.address
-            });
+            let drained = announced
+                .as_ref()
+                .is_some_and(|old| old.drained && old.announcement.is_same(&announcement));
             *announced = Some(Announced {
                 announcement,
-                expires: now + self.silence.duration(),
+                expires,
                 drained,
             });
         });
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -74,6 +74,7 @@
             slots,
             connections: 110,
             state: Readiness::Ready,
+            start: Default::default(),
         };
         backend.announce(announcement.clone());
         let key = Secret::new("fleet");
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use model::{Millis, ServiceName, VmId};
+use model::{Incarnation, Millis, ServiceName, UnixMillis, VmId};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -203,6 +203,7 @@
     let client = Client::builder(TokioExecutor::new()).build_http();
     let settings = &shared.0.settings;
     let mut behaviour = shared.0.behaviour.subscribe();
+    let start = Incarnation::new(UnixMillis::now().get());
     loop {
         let state = behaviour.borrow_and_update().announce;
         if let Some(state) = state {
@@ -212,6 +213,7 @@
                 slots: settings.slots,
                 connections: settings.connections,
                 state,
+                start,
             };
             let json = serde_json::to_vec(&announcement).unwrap_or_default();
             let request = Request::builder()
