--- a/crates/spread/src/codec.rs
+++ b/crates/spread/src/codec.rs
@@ -87,7 +87,7 @@
 }
 
 /// What brings a daemon from one version to the newest.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Update {
     pub(crate) changes: Vec<Vec<u8>>,
     pub(crate) state: Option<fleet::WholeState>,
@@ -108,6 +108,13 @@
         })
     }
 
+    /// Returns the size of its content, in bytes.
+    pub(crate) fn size(&self) -> usize {
+        let changes: usize = self.changes.iter().map(Vec::len).sum();
+        let state = self.state.as_ref();
+        changes + state.map_or(0, |state| state.packed.len())
+    }
+
     /// Returns a whole state.
     pub(crate) fn of_state(state: Option<fleet::WholeState>) -> Self {
         Self {
@@ -122,9 +129,9 @@
     ///
     /// Fails if it cannot be read.
     pub(crate) fn version(&self) -> Result<Option<Version>, ApplyError> {
-        let state = self.state.as_ref().map(|state| &state.change);
-        let Some(last) = self.changes.last().or(state) else {
-            return Ok(None);
+        let Some(last) = self.changes.last() else {
+            let state = self.state.as_ref();
+            return Ok(state.map(|state| Version::new(state.version)));
         };
         let change = Change::from_bytes(last).map_err(unreadable)?;
         Ok(Some(change.version))
@@ -133,7 +140,7 @@
     /// Puts what came over the wire in force.
     pub(crate) fn apply(self, table: &Table) -> Result<(), ApplyError> {
         if let Some(state) = self.state {
-            table.install(whole_from_wire(state)?)?;
+            table.install(whole_from_wire(&state)?)?;
         }
         if !self.changes.is_empty() {
             table.apply(&self.changes)?;
@@ -142,27 +149,28 @@
     }
 }
 
-/// Returns `whole` for the wire.
-pub(crate) fn whole_to_wire(whole: &Whole) -> std::io::Result<fleet::WholeState> {
+/// Returns `whole`, which is `version`, for the wire.
+pub(crate) fn whole_to_wire(version: Version, whole: &Whole) -> std::io::Result<fleet::WholeState> {
     let items = whole.state.pieces().map(|(_, piece)| piece.to_json());
-    let items = fleet::Items {
+    let content = fleet::Content {
+        change: whole.change.to_vec(),
         items: items.collect(),
     };
     Ok(fleet::WholeState {
-        change: whole.change.to_vec(),
-        packed: pack(&items)?,
+        version: version.get(),
+        packed: pack(&content)?,
     })
 }
 
-fn whole_from_wire(state: fleet::WholeState) -> Result<Whole, ApplyError> {
-    let unpacked: fleet::Items = unpack(&state.packed).map_err(unreadable)?;
-    let mut items = Vec::with_capacity(unpacked.items.len());
-    for json in &unpacked.items {
+fn whole_from_wire(state: &fleet::WholeState) -> Result<Whole, ApplyError> {
+    let content: fleet::Content = unpack(&state.packed).map_err(unreadable)?;
+    let mut items = Vec::with_capacity(content.items.len());
+    for json in &content.items {
         let item: Item = serde_json::from_slice(json).map_err(unreadable)?;
         items.push(item);
     }
     Ok(Whole {
-        change: Arc::from(state.change),
+        change: Arc::from(content.change),
         state: State::from_items(items),
     })
 }
--- a/crates/spread/src/hub.rs
+++ b/crates/spread/src/hub.rs
@@ -7,7 +7,7 @@
 
 use ledger::Ledger;
 use member::LinkId;
-use model::{Version, VmId};
+use model::VmId;
 use slog::{Logger, info};
 use store::Store;
 use table::{ApplyError, Table};
@@ -22,7 +22,7 @@
 
 use crate::Settings;
 use crate::children::Children;
-use crate::codec::{Update, whole_to_wire};
+use crate::codec::{Mark, Update, whole_to_wire};
 use crate::counts::{Lag, Report};
 use crate::floor::Floor;
 use crate::guard::Guard;
@@ -36,6 +36,9 @@
 /// Largest message between daemons, in bytes: a whole state at the design size with room to grow.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
+/// Largest changes that are sent without a look at the size of the whole state, in bytes.
+const MAX_SMALL_BYTES: usize = 16 << 10;
+
 /// Whole states sent to children at once.
 const MAX_TRANSFERS: usize = 4;
 
@@ -80,7 +83,7 @@
     pub(crate) traffic: Traffic,
     joins: Mutex<JoinLimit>,
     guard: Mutex<Guard>,
-    packed: Mutex<Option<(Version, WholeState)>>,
+    packed: Mutex<Option<WholeState>>,
     trouble: Mutex<Option<String>>,
     links: AtomicU64,
 }
@@ -167,15 +170,39 @@
         update.apply(&self.table)
     }
 
+    /// Returns what a daemon at `mark` lacks: the changes, or the whole state where that is smaller.
+    pub(crate) fn update_after(&self, mark: Mark) -> Update {
+        let changes = Update::changes_after(&self.table, mark);
+        if let Some(changes) = &changes
+            && changes.size() <= MAX_SMALL_BYTES
+        {
+            return changes.clone();
+        }
+        let whole = Update::of_state(self.whole());
+        match changes {
+            Some(changes) if changes.size() <= whole.size() => changes,
+            _ => whole,
+        }
+    }
+
+    /// Returns whether a daemon at `mark` lacks so much that only some may take it at once.
+    pub(crate) fn is_far_behind(&self, mark: Mark) -> bool {
+        let changes = Update::changes_after(&self.table, mark);
+        changes.is_none_or(|changes| changes.size() > MAX_SMALL_BYTES)
+    }
+
     /// Returns the version in force, whole and compressed.
-    pub(crate) fn whole(&self) -> Option<WholeState> {
+    fn whole(&self) -> Option<WholeState> {
         let version = self.table.snapshot().version;
         let mut packed = self.packed.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((_, whole)) = packed.as_ref().filter(|(packed, _)| *packed == version) {
+        if let Some(whole) = packed
+            .as_ref()
+            .filter(|whole| whole.version == version.get())
+        {
             return Some(whole.clone());
         }
-        let whole = whole_to_wire(&self.table.whole()?).ok()?;
-        *packed = Some((version, whole.clone()));
+        let whole = whole_to_wire(version, &self.table.whole()?).ok()?;
+        *packed = Some(whole.clone());
         Some(whole)
     }
 
--- a/crates/spread/src/repair.rs
+++ b/crates/spread/src/repair.rs
@@ -153,9 +153,10 @@
     if own <= mark.version || own == Version::default() {
         return;
     }
-    if let Some(update) = Update::changes_after(&hub.table, mark) {
-        reply.changes = update.changes;
-    } else if hub.transfers.available_permits() > 0 {
-        reply.state = hub.whole();
+    if hub.is_far_behind(mark) && hub.transfers.available_permits() == 0 {
+        return;
     }
+    let update = hub.update_after(mark);
+    reply.changes = update.changes;
+    reply.state = update.state;
 }
--- a/crates/spread/src/upper.rs
+++ b/crates/spread/src/upper.rs
@@ -14,7 +14,7 @@
 use wire::fleet::{Beacon, Busy, Down, Hello, Up};
 
 use crate::children::Child;
-use crate::codec::{self, Mark, Update};
+use crate::codec::{self, Mark};
 use crate::counts::Report;
 use crate::hub::{Hub, is_mesh};
 use crate::server::buckets;
@@ -102,7 +102,7 @@
         if let Err(pause) = hub.admit_join() {
             return Err(busy(hub.children.addresses(), pause));
         }
-        if Update::changes_after(&hub.table, self.mark).is_none() {
+        if hub.is_far_behind(self.mark) {
             match Arc::clone(&hub.transfers).try_acquire_owned() {
                 Ok(permit) => self.transfer = Some(permit),
                 Err(_) => return Err(busy(hub.children.addresses(), RETRY)),
@@ -326,8 +326,7 @@
         if mark.version <= self.mark.version || mark.version < self.floor {
             return self.mark;
         }
-        let update = Update::changes_after(&hub.table, self.mark);
-        let update = update.unwrap_or_else(|| Update::of_state(hub.whole()));
+        let update = hub.update_after(self.mark);
         down.changes = update.changes;
         down.state = update.state;
         mark
--- a/crates/spread/tests/nodes/repair.rs
+++ b/crates/spread/tests/nodes/repair.rs
@@ -6,7 +6,7 @@
 use standin::Kv;
 use tokio::time::sleep;
 
-use crate::support::{TestNode, accept, serving, set_down, wait};
+use crate::support::{TestNode, accept, accept_large, serving, set_down, wait};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn orphans_exchange_membership_while_store_and_relay_are_out() {
@@ -133,3 +133,15 @@
     let metric = family.and_then(|family| family.get_metric().first().cloned());
     metric.map_or(0, |metric| metric.get_counter().get_value() as u64)
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn joining_daemon_gets_a_large_version_compressed() {
+    let kv = Kv::open();
+    let relay = TestNode::spawn(&kv, "a-0", "a", &[]).await;
+    let size = accept_large(&kv).await;
+    wait("the relay serves", || relay.version() == 1).await;
+    let late = TestNode::spawn(&kv, "a-1", "a", &[]).await;
+    wait("the late daemon serves", || late.version() == 1).await;
+    let got = received(&late) as usize;
+    assert!(got * 4 < size, "{got} bytes for a change of {size}");
+}
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -114,9 +114,25 @@
     let plan = plan::brno().expect("the example is valid");
     let mut config: Config = plan.config().clone();
     config.routes[0].rules.timeout = Millis::new(5_000 + change);
+    accept_config(kv, config, &format!("change-{change}")).await
+}
+
+/// Accepts many services at once; returns the size of the configuration in bytes.
+pub(crate) async fn accept_large(kv: &Kv) -> usize {
+    let mut plan = plan::Plan::new("redakce").expect("a valid name");
+    for i in 0..300 {
+        let service = plan.service(&format!("service-{i}")).expect("a valid name");
+        service.add();
+    }
+    let json = plan.to_json().expect("JSON");
+    accept_config(kv, plan.config().clone(), "large").await;
+    json.len()
+}
+
+async fn accept_config(kv: &Kv, config: Config, id: &str) -> Version {
     let request = Request {
         config,
-        accept_id: format!("change-{change}").parse().expect("a valid id"),
+        accept_id: id.parse().expect("a valid id"),
         operator: "test".parse().expect("a valid name"),
         reason: "test".into(),
     };
