--- a/crates/spread/tests/nodes/duty.rs
+++ b/crates/spread/tests/nodes/duty.rs
@@ -6,28 +6,29 @@
 use crate::support::{TestNode, accept, serving, set_down, wait};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn child_takes_over_the_duty_of_a_relay_that_stops() {
+async fn remaining_relay_finds_a_successor_for_one_that_stops_or_dies() {
     let kv = Kv::open();
-    let relay = TestNode::spawn(&kv, "a-0", "a", &[]).await;
-    wait("the duty is taken", || relay.node.is_relay()).await;
-    let mut children = Vec::new();
-    for i in 1..4 {
-        children.push(TestNode::spawn(&kv, &format!("a-{i}"), "a", &[]).await);
+    let mut nodes = Vec::new();
+    for i in 0..6 {
+        nodes.push(TestNode::spawn_with(&kv, &format!("a-{i}"), "a", &[], 2).await);
+        let last = nodes.len() - 1;
+        wait("the node has a place", || nodes[last].node.is_rooted()).await;
     }
-    wait("the children follow", || {
-        children.iter().all(|child| child.node.is_rooted())
-    })
-    .await;
-    relay.node.stop().await;
-    let lists = kv.counts().lists;
-    wait("a child takes the duty", || {
-        children.iter().any(|child| child.node.is_relay())
-    })
-    .await;
+    assert_eq!(relays(&nodes), 2);
+    // A planned stop: nobody loses a relay in between who could not follow the other one.
+    let stopped = nodes.remove(0);
+    stopped.node.stop().await;
+    wait("a successor of the stopped relay", || relays(&nodes) == 2).await;
+    // A crash: the place is vacant once the lease has lapsed.
+    let place = nodes.iter().position(|node| node.node.is_relay());
+    drop(nodes.remove(place.expect("a relay")));
+    wait("a successor of the dead relay", || relays(&nodes) == 2).await;
     accept(&kv, 1).await;
-    serving(&children, 1).await;
-    // The successor was asked; nobody had to look for the vacancy again and again.
-    assert!(kv.counts().lists - lists <= 6, "{:?}", kv.counts());
+    serving(&nodes, 1).await;
+}
+
+fn relays(nodes: &[TestNode]) -> usize {
+    nodes.iter().filter(|node| node.node.is_relay()).count()
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/spread/tests/nodes/repair.rs
+++ b/crates/spread/tests/nodes/repair.rs
@@ -95,7 +95,7 @@
         nodes.iter().all(|node| node.live().len() == 2)
     })
     .await;
-    let crowd = crowd(2_000, &nodes[0]);
+    let crowd = crowd(2_000, &nodes);
     for node in &nodes {
         node.table.merge(crowd.clone(), LinkId(77));
     }
@@ -112,14 +112,15 @@
     assert!(rate < 10_000, "{rate} bytes a second");
 }
 
-/// Returns records of `count` daemons that resemble the one of `node`.
-fn crowd(count: usize, node: &TestNode) -> Vec<member::Record> {
-    let own = node.table.members().own();
+/// Returns records of `count` more daemons, all of which answer at the addresses of `nodes`.
+fn crowd(count: usize, nodes: &[TestNode]) -> Vec<member::Record> {
+    let own = nodes[0].table.members().own();
     let records = (0..count).map(|i| {
         let mut record = own.clone();
-        record.vm = format!("z-{i}").parse().expect("a valid id");
-        // Nobody answers at these addresses.
-        record.fleet = ([127, 0, 0, 1], 1).into();
+        record.vm = format!("z-{:08x}", (i as u32).wrapping_mul(2_654_435_761))
+            .parse()
+            .expect("a valid id");
+        record.fleet = nodes[i % nodes.len()].address;
         record
     });
     records.collect()
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -40,8 +40,19 @@
 }
 
 impl TestNode {
-    /// Starts a node.
+    /// Starts a node of a fleet with one relay in each failure domain.
     pub(crate) async fn spawn(kv: &Kv, vm: &str, domain: &str, seeds: &[SocketAddr]) -> Self {
+        Self::spawn_with(kv, vm, domain, seeds, 1).await
+    }
+
+    /// Starts a node of a fleet with `relays` relays in each failure domain.
+    pub(crate) async fn spawn_with(
+        kv: &Kv,
+        vm: &str,
+        domain: &str,
+        seeds: &[SocketAddr],
+        relays: u32,
+    ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0))
             .await
             .expect("a free port");
@@ -65,7 +76,7 @@
             seeds: seeds.to_vec(),
             key: Secret::new("test-fleet"),
             fanout: 3,
-            relays: 1,
+            relays,
             lease: Millis::new(4_000),
             beacon: Millis::new(200),
             silence: Millis::new(1_500),
