--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -1,8 +1,10 @@
 //! Benchmarks of distribution and membership.
 
+mod accepts;
 mod baseline;
 mod churn;
 mod converge;
+mod design;
 mod herd;
 mod outage;
 mod probe;
@@ -15,6 +17,8 @@
 /// Benchmarks of distribution and membership.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Accepts a second that one head carries.
+    Accepts(accepts::Args),
     /// Time from an accept until every daemon serves it.
     Converge(converge::Args),
     /// Upstreams that start, drain and stop.
@@ -30,6 +34,7 @@
 /// Runs one benchmark.
 pub(crate) async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Accepts(args) => accepts::run(args).await,
         Command::Converge(args) => converge::run(args).await,
         Command::Churn(args) => churn::run(args).await,
         Command::Herd(args) => herd::run(args).await,
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::fs::{self, File};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use serde::Deserialize;
 use standin::ControlClient;
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 use tokio::time::{Instant, sleep};
 
 use crate::{Error, Process};
@@ -34,6 +36,12 @@
     pub settings: String,
     /// Lines added to section `fleet` of the daemon's settings.
     pub fleet: String,
+    /// Lines added to section `listen` of the daemon's settings.
+    pub listen: String,
+    /// Whether the daemon's addresses are held for it, so that it can come back after its end.
+    pub held: bool,
+    /// Address of the key-value service where it is not the fleet's own, such as that of a cut.
+    pub store: Option<SocketAddr>,
 }
 
 impl VmSpec {
@@ -45,6 +53,9 @@
             region: region.into(),
             settings: String::new(),
             fleet: String::new(),
+            listen: String::new(),
+            held: false,
+            store: None,
         }
     }
 }
@@ -59,6 +70,39 @@
     announce: SocketAddr,
 }
 
+impl DaemonReady {
+    /// Returns addresses that the daemon chooses itself.
+    fn free() -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            caller: free,
+            gate: free,
+            fleet: free,
+            admin: free,
+            announce: free,
+        }
+    }
+
+    /// Returns free addresses, held by `holders` against everyone who asks for any free one.
+    fn hold(holders: &mut Vec<TcpSocket>) -> io::Result<Self> {
+        let mut next = || -> io::Result<SocketAddr> {
+            let socket = TcpSocket::new_v4()?;
+            socket.set_reuseaddr(true)?;
+            socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+            let address = socket.local_addr()?;
+            holders.push(socket);
+            Ok(address)
+        };
+        Ok(Self {
+            caller: next()?,
+            gate: next()?,
+            fleet: next()?,
+            admin: next()?,
+            announce: next()?,
+        })
+    }
+}
+
 /// Addresses of a stand-in, as its ready line says.
 #[derive(Debug, Clone, Copy, Deserialize)]
 struct StandinReady {
@@ -120,6 +164,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     dir: TempDir,
+    /// Sockets that hold addresses of daemons while these are away.
+    holders: Vec<TcpSocket>,
     /// Teams that the fleet's operator may change.
     teams: Vec<String>,
     /// Key-value service.
@@ -141,6 +187,7 @@
             Process::spawn::<StandinReady>("standin", &["kv".into()], None).await?;
         Ok(Self {
             dir: TempDir::new()?,
+            holders: Vec::new(),
             teams: teams.iter().map(|team| (*team).into()).collect(),
             kv: KvProcess {
                 process,
@@ -158,15 +205,11 @@
     ///
     /// Fails if the daemon does not become ready.
     pub async fn start_daemon(&mut self, spec: VmSpec) -> Result<usize, Error> {
-        let path = self.write_settings(&spec)?;
-        let log = File::create(self.dir.path().join(format!("{}.log", spec.vm)))?;
-        let args = [
-            "daemon".into(),
-            "--settings".into(),
-            path.display().to_string(),
-        ];
-        let (process, ready) =
-            Process::spawn::<DaemonReady>("sardinestall", &args, Some(log)).await?;
+        let addresses = match spec.held {
+            true => DaemonReady::hold(&mut self.holders)?,
+            false => DaemonReady::free(),
+        };
+        let (process, ready) = self.spawn_daemon(&spec, addresses).await?;
         self.daemons.push(DaemonProcess {
             spec,
             process,
@@ -179,6 +222,41 @@
         Ok(self.daemons.len() - 1)
     }
 
+    /// Starts the daemon at `daemon`, which has ended, again on the same VM and addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not become ready.
+    pub async fn restart_daemon(&mut self, daemon: usize) -> Result<(), Error> {
+        let old = &self.daemons[daemon];
+        let addresses = DaemonReady {
+            caller: old.caller,
+            gate: old.gate,
+            fleet: old.fleet,
+            admin: old.admin,
+            announce: old.announce,
+        };
+        let (process, _) = self.spawn_daemon(&old.spec, addresses).await?;
+        self.daemons[daemon].process = process;
+        Ok(())
+    }
+
+    async fn spawn_daemon(
+        &self,
+        spec: &VmSpec,
+        addresses: DaemonReady,
+    ) -> Result<(Process, DaemonReady), Error> {
+        let path = self.write_settings(spec, addresses)?;
+        let log = self.dir.path().join(format!("{}.log", spec.vm));
+        let log = File::options().create(true).append(true).open(log)?;
+        let args = [
+            "daemon".into(),
+            "--settings".into(),
+            path.display().to_string(),
+        ];
+        Process::spawn::<DaemonReady>("sardinestall", &args, Some(log)).await
+    }
+
     /// Starts an upstream of `service` beside the daemon at `daemon`; returns its position.
     ///
     /// # Errors
@@ -244,7 +322,7 @@
         fs::read_to_string(path).unwrap_or_default()
     }
 
-    fn write_settings(&self, spec: &VmSpec) -> Result<PathBuf, Error> {
+    fn write_settings(&self, spec: &VmSpec, addresses: DaemonReady) -> Result<PathBuf, Error> {
         let teams: Vec<String> = self
             .teams
             .iter()
@@ -255,15 +333,21 @@
         let _ = write!(
             toml,
             "[vm]\nid = \"{}\"\nfailure_domain = \"{}\"\nregion = \"{}\"\n\n\
-             [listen]\ncaller = \"127.0.0.1:0\"\ngate = \"127.0.0.1:0\"\n\
-             fleet = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nannounce = \"127.0.0.1:0\"\n\n\
+             [listen]\ncaller = \"{}\"\ngate = \"{}\"\nfleet = \"{}\"\n\
+             admin = \"{}\"\nannounce = \"{}\"\n{}\n\n\
              [fleet]\nkey = \"harness-fleet\"\n{}\n\n[store]\naddress = \"{}\"\n\n\
              [[operators]]\nname = \"harness\"\nteams = [{}]\ntoken_hash = \"{}\"\n{}\n",
             spec.vm,
             spec.domain,
             spec.region,
+            addresses.caller,
+            addresses.gate,
+            addresses.fleet,
+            addresses.admin,
+            addresses.announce,
+            spec.listen,
             spec.fleet,
-            self.kv.address,
+            spec.store.unwrap_or(self.kv.address),
             teams.join(", "),
             TokenHash::of(TOKEN),
             spec.settings,
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,9 @@
 mod command;
 #[cfg(feature = "demo")]
 mod demo;
+mod describe;
 mod error;
+mod interrupt;
 mod logging;
 mod output;
 
@@ -19,19 +21,25 @@
 const WORKER_THREADS: usize = 2;
 
 fn main() -> ExitCode {
-    match run() {
+    let cli = Cli::parse();
+    let json = cli.json;
+    match run(cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("sardinestall: {error}");
+            if json {
+                eprintln!("{}", error.to_json());
+            } else {
+                eprintln!("sardinestall: {error}");
+            }
             error.exit_code()
         }
     }
 }
 
-fn run() -> Result<(), error::Error> {
+fn run(cli: Cli) -> Result<(), error::Error> {
     let runtime = Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
         .build()?;
-    runtime.block_on(command::run(Cli::parse()))
+    runtime.block_on(command::run(cli))
 }
