Write each failure domain's records to the store for cold starts

Cause: a fleet of which every daemon dies at once knew nobody afterwards until each had announced itself.

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -5,6 +5,7 @@
 //! through daemons between, in a tree of bounded fan-out. Order alone makes this safe: a version
 //! is put in force only above the one before it, so leases and links merely save work.
 
+mod census;
 mod children;
 mod codec;
 mod counts;
--- a/crates/spread/src/mesh.rs
+++ b/crates/spread/src/mesh.rs
@@ -27,6 +27,12 @@
 /// Time without any relay after which a failure domain is taken for lost.
 const DOMAIN_GRACE: Duration = Duration::from_secs(60);
 
+/// Times that a child is asked before the relays are looked at anew.
+const APPOINT_ROUNDS: u32 = 5;
+
+/// Time in which a child that was asked takes the place.
+const APPOINT_PAUSE: Duration = Duration::from_secs(1);
+
 /// Longest random wait before a child is asked to fill a vacant place.
 const MAX_APPOINT_WAIT_MS: u64 = 400;
 
@@ -137,8 +143,12 @@
         let hub = Arc::clone(hub);
         tokio::spawn(async move {
             sleep(Duration::from_millis(wait)).await;
-            if hub.relays.borrow().revision == seen {
+            for _ in 0..APPOINT_ROUNDS {
+                if hub.relays.borrow().revision != seen || !hub.is_relay() {
+                    return;
+                }
                 hub.appoint();
+                sleep(APPOINT_PAUSE).await;
             }
         });
     }
--- a/crates/spread/src/relay.rs
+++ b/crates/spread/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::hub::Hub;
 use crate::relays::PREFIX;
 use crate::release::release;
-use crate::{Summary, mesh};
+use crate::{Summary, census, mesh};
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -88,6 +88,7 @@
             () = self.keep_lease(hub) => warn!(hub.log, "relay duty lost"),
             () = mesh::run(hub) => {}
             () = self.summarise(hub) => {}
+            () = census::run(hub, self.slot) => {}
             () = hub.retire.cancelled() => self.hand_over(hub).await,
         }
         hub.duty.send_replace(None);
@@ -161,6 +162,7 @@
             sleep(STORE_PAUSE).await;
             continue;
         }
+        hub.clear_trouble();
         match hub.store.watch("head", after, WATCH_WAIT).await {
             Ok(changes) => after = changes.revision,
             Err(_) => sleep(STORE_PAUSE).await,
--- a/crates/spread/tests/nodes/floor.rs
+++ b/crates/spread/tests/nodes/floor.rs
@@ -81,6 +81,10 @@
         nodes[0].version() == 1
     })
     .await;
+    let lags = nodes[0].node.lags();
+    assert_eq!(lags.len(), 1, "{lags:?}");
+    assert_eq!(lags[0].vm.as_str(), "a-0");
+    assert!(lags[0].reason.contains("failure domain"), "{lags:?}");
     // The leases of the others lapse, so that there is one failure domain left.
     wait("the version is released", || nodes[0].version() == 2).await;
 }
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ledger::{Ledger, Request};
-use member::{Members, Record, UpstreamState};
+use member::{LinkId, Members, Record, UpstreamState};
 use model::{Config, Incarnation, Millis, Secret, UnixMillis, Version};
 use prometheus::Registry;
 use slog::{Discard, Logger, o};
@@ -18,6 +18,9 @@
 /// Longest wait for a condition that must come about.
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 
+/// Time between two looks at a condition.
+pub(crate) const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
 /// Time for which a condition that must not come about is looked for.
 pub(crate) const WHILE: Duration = Duration::from_secs(2);
 
@@ -52,6 +55,18 @@
         domain: &str,
         seeds: &[SocketAddr],
         relays: u32,
+    ) -> Self {
+        Self::spawn_among(kv, vm, domain, seeds, relays, &[]).await
+    }
+
+    /// Starts a node that knows some VMs of its failure domain from the beginning.
+    pub(crate) async fn spawn_among(
+        kv: &Kv,
+        vm: &str,
+        domain: &str,
+        seeds: &[SocketAddr],
+        relays: u32,
+        known: &[String],
     ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0))
             .await
@@ -84,7 +99,13 @@
             compare: Millis::new(300),
         };
         let store = Arc::new(kv.clone());
-        let table = Arc::new(Table::open(Arc::new(Members::open(record))));
+        let members = Members::open(record.clone());
+        let known = known.iter().map(|vm| Record {
+            vm: vm.parse().expect("a valid id"),
+            ..record.clone()
+        });
+        members.merge(known.collect(), LinkId::default());
+        let table = Arc::new(Table::open(Arc::new(members)));
         let ledger = Arc::new(Ledger::open(store.clone()));
         let log = Logger::root(Discard, o!());
         let spawned = Node::spawn(
@@ -168,7 +189,7 @@
     let deadline = Instant::now() + LIMIT;
     while !condition() {
         assert!(Instant::now() < deadline, "never came about: {what}");
-        sleep(Duration::from_millis(10)).await;
+        sleep(LOOK_PAUSE).await;
     }
 }
 
@@ -177,7 +198,7 @@
     let deadline = Instant::now() + WHILE;
     while Instant::now() < deadline {
         assert!(condition(), "ceased to hold: {what}");
-        sleep(Duration::from_millis(10)).await;
+        sleep(LOOK_PAUSE).await;
     }
 }
 
