--- a/crates/spread/src/mesh.rs
+++ b/crates/spread/src/mesh.rs
@@ -15,17 +15,15 @@
 use crate::link::{self, Place};
 use crate::relays::{PREFIX, Relays};
 
-/// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-
 /// Pause after a failed call to the store.
 const STORE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause before a lost link is tried again.
 const LINK_PAUSE: Duration = Duration::from_secs(1);
 
-/// Time without any relay after which a failure domain is taken for lost.
-const DOMAIN_GRACE: Duration = Duration::from_secs(60);
+/// Times the grace of one daemon that a failure domain may be without any relay until it is taken
+/// for lost.
+const DOMAIN_GRACES: u32 = 10;
 
 /// Times that a child is asked before the relays are looked at anew.
 const APPOINT_ROUNDS: u32 = 5;
@@ -52,9 +50,10 @@
 pub(crate) async fn run(hub: &Arc<Hub>) {
     let mut mesh = Mesh::default();
     let mut after = Revision(0);
+    let wait = hub.settings.grace.duration() * DOMAIN_GRACES;
     loop {
         let changes = tokio::select! {
-            changes = hub.store.watch(PREFIX, after, WATCH_WAIT) => changes,
+            changes = hub.store.watch(PREFIX, after, wait) => changes,
             Some(ended) = mesh.links.join_next() => {
                 mesh.unlink(ended.unwrap_or_default());
                 mesh.link(hub);
@@ -110,7 +109,8 @@
     /// Expires the daemons of failure domains that have had no relay for long.
     ///
     /// All their daemons are lost then, and none of them is left to expire the others. One that
-    /// lives answers its expiry.
+    /// lives answers its expiry. More than half of the fleet is never expired so: the likelier
+    /// cause is a store that lost its leases.
     fn expire_domains(&mut self, hub: &Hub) {
         let members = hub.table.members();
         let with_relay = hub.relays.borrow().domains();
@@ -118,15 +118,25 @@
         without.retain(|domain| !with_relay.contains(domain));
         self.empty.retain(|domain, _| without.contains(domain));
         let now = Instant::now();
-        for domain in without {
-            let since = *self.empty.entry(domain.clone()).or_insert(now);
-            if now.duration_since(since) < DOMAIN_GRACE {
-                continue;
-            }
-            warn!(hub.log, "failure domain without relay; its daemons are expired"; "domain" => %domain);
-            for record in members.of_domain(&domain) {
-                hub.table.expire(&record.vm);
-            }
+        for domain in &without {
+            self.empty.entry(domain.clone()).or_insert(now);
+        }
+        let grace = hub.settings.grace.duration() * DOMAIN_GRACES;
+        let long = |since: &Instant| now.duration_since(*since) >= grace;
+        let lost = self.empty.iter().filter(|(_, since)| long(since));
+        let lost: Vec<_> = lost
+            .flat_map(|(domain, _)| members.of_domain(domain))
+            .collect();
+        if lost.is_empty() {
+            return;
+        }
+        if lost.len() * 2 > members.live() {
+            warn!(hub.log, "more than half of the fleet has no relay; it stays routed"; "lost" => lost.len());
+            return;
+        }
+        warn!(hub.log, "failure domains lost; their daemons are expired"; "lost" => lost.len());
+        for record in lost {
+            hub.table.expire(&record.vm);
         }
     }
 
--- a/crates/spread/tests/nodes/repair.rs
+++ b/crates/spread/tests/nodes/repair.rs
@@ -146,3 +146,28 @@
     let got = received(&late) as usize;
     assert!(got * 4 < size, "{got} bytes for a change of {size}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemons_of_a_lost_failure_domain_expire_and_come_back_with_it() {
+    let kv = Kv::open();
+    let mut nodes = Vec::new();
+    for vm in ["a-0", "a-1", "a-2", "b-0", "b-1"] {
+        nodes.push(TestNode::spawn(&kv, vm, &vm[..1], &[]).await);
+    }
+    wait("everybody knows everybody", || {
+        nodes.iter().all(|node| node.live().len() == 5)
+    })
+    .await;
+    nodes.truncate(3);
+    wait("the lost daemons expire", || {
+        nodes
+            .iter()
+            .all(|node| node.live() == ["a-0", "a-1", "a-2"])
+    })
+    .await;
+    let back = TestNode::spawn(&kv, "b-0", "b", &[]).await;
+    wait("the daemon that came back is known", || {
+        nodes.iter().all(|node| node.live().len() == 4) && back.live().len() == 4
+    })
+    .await;
+}
