--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ledger::{Ledger, Request};
-use member::{Members, Record, UpstreamState};
+use member::{LinkId, Members, Record, UpstreamState};
 use model::{Config, Incarnation, Millis, Secret, UnixMillis, Version};
 use prometheus::Registry;
 use slog::{Discard, Logger, o};
@@ -18,6 +18,9 @@
 /// Longest wait for a condition that must come about.
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 
+/// Time between two looks at a condition.
+pub(crate) const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
 /// Time for which a condition that must not come about is looked for.
 pub(crate) const WHILE: Duration = Duration::from_secs(2);
 
@@ -40,8 +43,31 @@
 }
 
 impl TestNode {
-    /// Starts a node.
+    /// Starts a node of a fleet with one relay in each failure domain.
     pub(crate) async fn spawn(kv: &Kv, vm: &str, domain: &str, seeds: &[SocketAddr]) -> Self {
+        Self::spawn_with(kv, vm, domain, seeds, 1).await
+    }
+
+    /// Starts a node of a fleet with `relays` relays in each failure domain.
+    pub(crate) async fn spawn_with(
+        kv: &Kv,
+        vm: &str,
+        domain: &str,
+        seeds: &[SocketAddr],
+        relays: u32,
+    ) -> Self {
+        Self::spawn_among(kv, vm, domain, seeds, relays, &[]).await
+    }
+
+    /// Starts a node that knows some VMs of its failure domain from the beginning.
+    pub(crate) async fn spawn_among(
+        kv: &Kv,
+        vm: &str,
+        domain: &str,
+        seeds: &[SocketAddr],
+        relays: u32,
+        known: &[String],
+    ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0))
             .await
             .expect("a free port");
@@ -65,7 +91,7 @@
             seeds: seeds.to_vec(),
             key: Secret::new("test-fleet"),
             fanout: 3,
-            relays: 1,
+            relays,
             lease: Millis::new(4_000),
             beacon: Millis::new(200),
             silence: Millis::new(1_500),
@@ -73,7 +99,13 @@
             compare: Millis::new(300),
         };
         let store = Arc::new(kv.clone());
-        let table = Arc::new(Table::open(Arc::new(Members::open(record))));
+        let members = Members::open(record.clone());
+        let known = known.iter().map(|vm| Record {
+            vm: vm.parse().expect("a valid id"),
+            ..record.clone()
+        });
+        members.merge(known.collect(), LinkId::default());
+        let table = Arc::new(Table::open(Arc::new(members)));
         let ledger = Arc::new(Ledger::open(store.clone()));
         let log = Logger::root(Discard, o!());
         let spawned = Node::spawn(
@@ -114,9 +146,25 @@
     let plan = plan::brno().expect("the example is valid");
     let mut config: Config = plan.config().clone();
     config.routes[0].rules.timeout = Millis::new(5_000 + change);
+    accept_config(kv, config, &format!("change-{change}")).await
+}
+
+/// Accepts many services at once; returns the size of the configuration in bytes.
+pub(crate) async fn accept_large(kv: &Kv) -> usize {
+    let mut plan = plan::Plan::new("redakce").expect("a valid name");
+    for i in 0..300 {
+        let service = plan.service(&format!("service-{i}")).expect("a valid name");
+        service.add();
+    }
+    let json = plan.to_json().expect("JSON");
+    accept_config(kv, plan.config().clone(), "large").await;
+    json.len()
+}
+
+async fn accept_config(kv: &Kv, config: Config, id: &str) -> Version {
     let request = Request {
         config,
-        accept_id: format!("change-{change}").parse().expect("a valid id"),
+        accept_id: id.parse().expect("a valid id"),
         operator: "test".parse().expect("a valid name"),
         reason: "test".into(),
     };
@@ -141,7 +189,7 @@
     let deadline = Instant::now() + LIMIT;
     while !condition() {
         assert!(Instant::now() < deadline, "never came about: {what}");
-        sleep(Duration::from_millis(10)).await;
+        sleep(LOOK_PAUSE).await;
     }
 }
 
@@ -150,7 +198,7 @@
     let deadline = Instant::now() + WHILE;
     while Instant::now() < deadline {
         assert!(condition(), "ceased to hold: {what}");
-        sleep(Duration::from_millis(10)).await;
+        sleep(LOOK_PAUSE).await;
     }
 }
 
