--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -72,6 +72,7 @@
             fleet: free,
             admin: free,
             announce: free,
+            ..ListenSettings::default()
         },
         fleet: FleetSettings::with_key(Secret::new(KEY)),
         store: StoreSettings { address: free },
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -137,7 +137,7 @@
             .map(|cuts| format!("\"{}\"", cuts.fleet.address()));
         let seeds: Vec<String> = seeds.collect();
         spec.fleet = format!(
-            "lease = \"2s\"\ncompare = \"1s\"\nseeds = [{}]",
+            "beacon = \"500ms\"\nlease = \"2s\"\ncompare = \"1s\"\nseeds = [{}]",
             seeds.join(", ")
         );
         spec.settings = "[log]\nformat = \"json\"\n\n[upstream]\nstop_limit = \"8s\"".into();
