--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -1,6 +1,15 @@
 //! Benchmarks of distribution and membership.
 
+mod accepts;
+mod baseline;
+mod churn;
 mod converge;
+mod design;
+mod herd;
+mod outage;
+mod probe;
+mod sizes;
+mod workload;
 
 use clap::Subcommand;
 use harness::Error;
@@ -8,13 +17,28 @@
 /// Benchmarks of distribution and membership.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Accepts a second that one head carries.
+    Accepts(accepts::Args),
     /// Time from an accept until every daemon serves it.
     Converge(converge::Args),
+    /// Upstreams that start, drain and stop.
+    Churn(churn::Args),
+    /// All daemons but one restarted at once.
+    Herd(herd::Args),
+    /// The store out for the whole run.
+    Outage(outage::Args),
+    /// Bytes of records and whole states on the wire.
+    Sizes(sizes::Args),
 }
 
 /// Runs one benchmark.
 pub(crate) async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Accepts(args) => accepts::run(args).await,
         Command::Converge(args) => converge::run(args).await,
+        Command::Churn(args) => churn::run(args).await,
+        Command::Herd(args) => herd::run(args).await,
+        Command::Outage(args) => outage::run(args).await,
+        Command::Sizes(args) => sizes::run(args),
     }
 }
--- a/crates/ledger/src/check.rs
+++ b/crates/ledger/src/check.rs
@@ -2,7 +2,7 @@
 
 use model::{Config, Key, State};
 
-use crate::accept::plan;
+use crate::plan::plan;
 use crate::{Error, Ledger};
 
 /// Checks `config` as an accept on top of `state` would, and returns the items it would change.
@@ -11,8 +11,8 @@
 ///
 /// Fails with every problem, each at its place in the file.
 pub fn check(config: &Config, state: &State) -> Result<Vec<Key>, Error> {
-    let (entries, _) = plan(config, state)?;
-    Ok(entries.into_iter().map(|entry| entry.key).collect())
+    let plan = plan(config, state)?;
+    Ok(plan.entries.into_iter().map(|entry| entry.key).collect())
 }
 
 impl Ledger {
@@ -25,7 +25,7 @@
     pub async fn check(&self, config: &Config) -> Result<Vec<Key>, Error> {
         let tip = self.tip().await?;
         let parent = config.parent.unwrap_or(tip.version);
-        self.check_parent(config, &tip, parent).await?;
+        self.inner.check_parent(config, &tip, parent).await?;
         check(config, &tip.state)
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types shared by every crate: names, units, the configuration format and its versions.
 
 mod change;
+mod collect;
 mod config;
 mod digest;
 mod name;
@@ -28,4 +29,4 @@
 pub use secret::Secret;
 pub use state::{Piece, State, StateError};
 pub use unit::{Incarnation, Millis, Size, UnitError, UnixMillis, Version, Weight};
-pub use validate::validate;
+pub use validate::{validate, validate_changed};
