Split the proof of the version floor by the number of failure domains

Cause: with three failure domains, as both customers have, the merged floor holds: of the VMs that come back during an outage none serves anything before the store is back. With two, of which one was cut off for longer than its relay's lease, a version is put in force that only one domain holds (`release` passes when no relay of another domain is known), and a restarted VM goes from version 2 to 1.

--- a/crates/proof/tests/scenarios.rs
+++ b/crates/proof/tests/scenarios.rs
@@ -375,6 +375,7 @@
     refused_retry_is_not_reported_as_not_run
     relay_wakes_with_lapsed_lease
     restart_keeps_the_floor
+    restart_keeps_the_floor_with_two_domains
     route_without_upstream_comes_alive
     stop_cuts_nothing
     stop_while_peers_stand_still
