Count failure domains without a known relay when a floor is asked for

Cause: scenario restart_keeps_the_floor_with_two_domains: VM a-2 went from version 2 to 1. Domain b's only relay was cut off for longer than its lease, domain a put version 2 in force alone, and b's relay, which had never heard of a relay in a, took its own answer for enough. With two domains one silent domain was allowed as well, although the other may then have put a version in force alone.

Change: domains that are known by their members only count as silent, and of two domains none may be silent. The policy test asserted that one of two may be silent; it now asserts the contrary, and its check of domains with some silent relays has three domains.

Price: with two failure domains, an outage of the store and the loss of one domain, restarted VMs wait.

--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -214,6 +214,13 @@
         live.map(|record| record.domain.clone()).collect()
     }
 
+    /// Returns the failure domains of all records, of daemons that ended among them.
+    pub fn seen_domains(&self) -> BTreeSet<DomainName> {
+        let inner = self.lock();
+        let records = inner.slots.values().map(|slot| &slot.record);
+        records.map(|record| record.domain.clone()).collect()
+    }
+
     /// Returns the sequence of the newest record.
     pub fn last(&self) -> Sequence {
         self.lock().last
--- a/crates/spread/src/floor.rs
+++ b/crates/spread/src/floor.rs
@@ -138,11 +138,17 @@
 async fn ask_relays(hub: &Hub) -> Result<Version, Status> {
     let relays = hub.relays.borrow().list.clone();
     let answers = join_all(relays.iter().map(|relay| ask_relay(hub, relay))).await;
-    let answered: Vec<(DomainName, bool)> = relays
+    let mut answered: Vec<(DomainName, bool)> = relays
         .iter()
         .zip(&answers)
         .map(|(relay, answer)| (relay.domain.clone(), answer.is_some()))
         .collect();
+    // A failure domain whose relays this one never heard of may have put versions in force.
+    for domain in hub.table.members().seen_domains() {
+        if !relays.iter().any(|relay| relay.domain == domain) {
+            answered.push((domain, false));
+        }
+    }
     let newest = answers.iter().flatten().map(|reply| reply.version).max();
     let proven = answers.iter().flatten().any(|reply| reply.proven);
     match newest {
@@ -173,14 +179,15 @@
 /// Returns whether the relays that answered are enough to know every version in force.
 ///
 /// A version is in force only after relays of two failure domains hold it. So at most one failure
-/// domain may be without the answer of every relay of it, and none if there is only one.
+/// domain may be without the answer of every relay of it. With two failure domains none may: while
+/// the leases of one have lapsed, the other puts versions in force alone.
 pub fn is_enough(answered: &[(DomainName, bool)]) -> bool {
     let mut domains: BTreeMap<&DomainName, bool> = BTreeMap::new();
     for (domain, answered) in answered {
         *domains.entry(domain).or_insert(true) &= answered;
     }
     let missing = domains.values().filter(|all| !**all).count();
-    !domains.is_empty() && missing <= usize::from(domains.len() > 1)
+    !domains.is_empty() && missing <= usize::from(domains.len() > 2)
 }
 
 /// Answers another daemon's question for the floor.
--- a/crates/spread/tests/policy.rs
+++ b/crates/spread/tests/policy.rs
@@ -17,13 +17,14 @@
 }
 
 #[test]
-fn one_failure_domain_may_be_silent_if_there_are_others() {
+fn one_failure_domain_of_three_may_be_silent_but_none_of_two() {
     assert!(is_enough(&answers(&[
         ("a", true),
         ("b", true),
         ("c", false)
     ])));
-    assert!(is_enough(&answers(&[("a", true), ("b", false)])));
+    assert!(is_enough(&answers(&[("a", true), ("b", true)])));
+    assert!(!is_enough(&answers(&[("a", true), ("b", false)])));
     assert!(is_enough(&answers(&[("a", true)])));
     assert!(!is_enough(&answers(&[("a", false)])));
     assert!(!is_enough(&answers(&[
@@ -36,8 +37,15 @@
 
 #[test]
 fn failure_domain_has_answered_only_if_each_of_its_relays_did() {
-    let partly = [("a", true), ("a", false), ("b", true), ("b", true)];
+    let partly = [
+        ("a", true),
+        ("a", false),
+        ("b", true),
+        ("b", true),
+        ("c", true),
+    ];
     assert!(is_enough(&answers(&partly)));
+    assert!(!is_enough(&answers(&partly[..4])));
     let both = [
         ("a", true),
         ("a", false),
