--- a/crates/admin/src/accept.rs
+++ b/crates/admin/src/accept.rs
@@ -45,11 +45,7 @@
         let Path(version) = version?;
         let Query(query) = query?;
         let old = api.ledger.at(version).await?;
-        let head = api.ledger.tip().await?;
-        let teams = match query.team {
-            Some(team) => vec![team],
-            None => differing_teams(&old, &head.state),
-        };
+        let teams = api.teams_of(&old, &query).await?;
         operator.check_teams(&teams)?;
         let config = part(version, &old, teams);
         api.accept(&id, &operator, config, query.accept).await
@@ -57,6 +53,25 @@
     api.count(accepted.await)
 }
 
+impl Api {
+    /// Returns the teams whose parts a rollback to `old` accepts.
+    async fn teams_of(
+        &self,
+        old: &ConfigState,
+        query: &RollbackQuery,
+    ) -> Result<Vec<TeamName>, ErrorPage> {
+        // A rollback that took effect leaves nothing that differs, and may be asked for again.
+        if let Some(change) = self.ledger.settle(&query.accept.accept_id).await? {
+            return Ok(change.teams.clone());
+        }
+        if let Some(team) = &query.team {
+            return Ok(vec![team.clone()]);
+        }
+        let head = self.ledger.tip().await?;
+        Ok(differing_teams(old, &head.state))
+    }
+}
+
 /// Returns the teams whose parts differ between two states.
 fn differing_teams(old: &ConfigState, new: &ConfigState) -> Vec<TeamName> {
     let mut teams = BTreeSet::new();
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -115,7 +115,7 @@
             LedgerError::Reused { .. } => {
                 (ErrorKind::Conflict, "accept again under a new accept id")
             }
-            LedgerError::TooLarge(_) => (ErrorKind::BadRequest, "accept it in several steps"),
+            LedgerError::TooLarge(_) => (ErrorKind::TooLarge, "accept it in several steps"),
             LedgerError::Busy(_) => (ErrorKind::Conflict, "accept again"),
             LedgerError::Unknown(_) => (
                 ErrorKind::Unknown,
--- a/crates/admin/src/health.rs
+++ b/crates/admin/src/health.rs
@@ -25,9 +25,7 @@
 
 /// Returns the daemon's metrics in the text format of Prometheus.
 pub(crate) async fn metrics(State(api): State<Api>) -> Result<Response, ErrorPage> {
-    let version = api.table.snapshot().version;
-    api.metrics
-        .observe(version, api.members(), api.node.is_rooted());
+    api.metrics.observe(api.members(), api.node.is_rooted());
     let encoder = prometheus::TextEncoder::new();
     let text = encoder
         .encode_to_string(&api.registry.gather())
--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -1,6 +1,5 @@
 //! Metrics of the administration.
 
-use model::Version;
 use prometheus::core::Collector;
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
@@ -11,8 +10,6 @@
     accepts: IntCounterVec,
     /// Calls of the API by status.
     requests: IntCounterVec,
-    /// Version in force here.
-    version: IntGauge,
     /// Daemons known that have not left or expired.
     members: IntGauge,
     /// Whether this daemon is below a relay or one itself.
@@ -37,10 +34,6 @@
         let metrics = Self {
             accepts: IntCounterVec::new(accepts, &["result"])?,
             requests: IntCounterVec::new(requests, &["code"])?,
-            version: IntGauge::new(
-                "sardinestall_config_version",
-                "Configuration version in force on this daemon; 0 before the first.",
-            )?,
             members: IntGauge::new(
                 "sardinestall_members",
                 "Daemons known that have not left or expired.",
@@ -50,10 +43,9 @@
                 "Whether this daemon is connected to a relay or is one: 1 or 0.",
             )?,
         };
-        let collectors: [Box<dyn Collector>; 5] = [
+        let collectors: [Box<dyn Collector>; 4] = [
             Box::new(metrics.accepts.clone()),
             Box::new(metrics.requests.clone()),
-            Box::new(metrics.version.clone()),
             Box::new(metrics.members.clone()),
             Box::new(metrics.connected.clone()),
         ];
@@ -74,8 +66,7 @@
     }
 
     /// Sets the gauges.
-    pub(crate) fn observe(&self, version: Version, members: u32, connected: bool) {
-        self.version.set(version.get() as i64);
+    pub(crate) fn observe(&self, members: u32, connected: bool) {
         self.members.set(i64::from(members));
         self.connected.set(i64::from(connected));
     }
--- a/crates/daemon/tests/security.rs
+++ b/crates/daemon/tests/security.rs
@@ -121,6 +121,10 @@
         .await
         .expect("accepted");
     assert_eq!(back.version.get(), first.get() + 3);
+    let again = blue.rollback(first, &id("b3"), "", Some(&team)).await;
+    assert_eq!(again.expect("settled"), back);
+    let again = blue.rollback(first, &id("b3"), "", None).await;
+    assert_eq!(again.expect("settled"), back);
     let diff = blue.diff(first, back.version).await.expect("a difference");
     let keys: Vec<String> = diff
         .changes
