--- a/crates/bench/src/call/calls.rs
+++ b/crates/bench/src/call/calls.rs
@@ -4,104 +4,214 @@
 use std::time::Duration;
 
 use clap::Args as ClapArgs;
-use harness::{Caller, Error, Fleet, VmSpec, wait_until};
+use harness::Error;
+use hdrhistogram::Histogram;
 use serde::Serialize;
-use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use standin::Behaviour;
 
+use crate::call::bed::{self, machine_load, processor_us};
+use crate::call::load::{self, Ask};
 use crate::report::{self, Micros};
 
-/// Longest wait for the fleet.
-const LIMIT: Duration = Duration::from_secs(30);
-
-/// Host of the example.
-const HOST: &str = "redakce.brno.example";
-
 /// Size of the run.
 #[derive(Debug, ClapArgs)]
 pub(crate) struct Args {
     /// Calls a second.
     #[arg(long, default_value_t = 1000)]
     rate: u64,
+    /// Rounds, each of a direct part and one through the path.
+    #[arg(long, default_value_t = 5)]
+    rounds: u64,
     /// Length of each part, in seconds.
-    #[arg(long, default_value_t = 10)]
+    #[arg(long, default_value_t = 2)]
     seconds: u64,
+    /// Calls a second of the chain; none for 0.
+    #[arg(long, default_value_t = 5)]
+    chain_rate: u64,
+    /// Depth of the chain.
+    #[arg(long, default_value_t = 23)]
+    depth: u64,
 }
 
 #[derive(Debug, Serialize)]
 struct Report {
     bench: &'static str,
+    what: &'static str,
     rate: u64,
+    rounds: u64,
     direct_us: Micros,
     path_us: Micros,
+    /// Difference of the quantiles of all rounds.
+    added_p50_us: i64,
+    added_p99_us: i64,
+    added_p999_us: i64,
+    /// Added p99 of each round.
+    added_p99_by_round_us: Vec<i64>,
+    /// How late the load itself sent its calls.
+    late_p99_us: u64,
     failed: u64,
+    ingress_us_per_call: f64,
+    gate_us_per_call: f64,
+    machine_load: f64,
 }
 
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
-    let mut fleet = Fleet::open(&["redakce"]).await?;
-    for vm in ["a-1", "a-2"] {
-        fleet
-            .start_daemon(VmSpec::new(vm, "morava-a", "cz-morava"))
+    let fleet = bed::open(2, 1).await?;
+    let ingress = fleet.daemons[0].caller;
+    let upstream = fleet.upstreams[0].address;
+    let mut both = Both::new();
+    for _ in 0..args.rounds {
+        both.round(upstream, ingress, "/proofs/1", &args, &fleet)
             .await?;
     }
-    fleet.start_upstream(1, "proofdesk").await?;
-    let config = plan::brno()
-        .expect("the example is valid")
-        .to_json()
-        .expect("JSON");
-    let id = "calls".parse().expect("a valid id");
-    let accepted = fleet.accept(0, &config, &id).await?;
-    fleet.wait_serving(accepted.version, LIMIT).await?;
-    let ingress = fleet.daemons[0].caller;
-    wait_until("an answer", LIMIT, async || {
-        let answer = Caller::default().get(ingress, HOST, "/proofs/1").await;
-        answer.is_ok_and(|answer| answer.status.is_success())
-    })
-    .await?;
-    let direct = load(fleet.upstreams[0].address, &args).await;
-    let path = load(ingress, &args).await;
-    report::print(&Report {
-        bench: "calls",
-        rate: args.rate,
-        direct_us: Micros::from(&direct.latency),
-        path_us: Micros::from(&path.latency),
-        failed: direct.failed + path.failed,
-    });
+    both.print("single", args.rate, args.rounds);
+    drop(fleet);
+    if args.chain_rate > 0 {
+        chain(args).await?;
+    }
+    Ok(())
+}
+
+/// Calls that each upstream passes on to the next, through the daemons or straight.
+async fn chain(args: Args) -> Result<(), Error> {
+    let fleet = bed::open(5, 1).await?;
+    let path = format!("/proofs/chain/{}", args.depth - 1);
+    let chained = Args {
+        rate: args.chain_rate,
+        ..args
+    };
+    let mut both = Both::new();
+    for _ in 0..chained.rounds {
+        for straight in [true, false] {
+            for (i, upstream) in fleet.upstreams.iter().enumerate() {
+                let next = (i + 1) % fleet.upstreams.len();
+                let to = match straight {
+                    true => fleet.upstreams[next].address,
+                    false => fleet.daemons[i + 1].caller,
+                };
+                let behaviour = Behaviour {
+                    forward: Some(to),
+                    ..Behaviour::default()
+                };
+                upstream.control.set_behaviour(&behaviour).await?;
+            }
+            let address = match straight {
+                true => fleet.upstreams[0].address,
+                false => fleet.daemons[0].caller,
+            };
+            both.part(straight, address, &path, &chained).await?;
+        }
+        both.end_round();
+    }
+    both.print("chain", chained.rate, chained.rounds);
     Ok(())
 }
 
-/// What a load saw.
-struct Load {
-    latency: hdrhistogram::Histogram<u64>,
+/// Direct calls and those through the path.
+struct Both {
+    direct: Histogram<u64>,
+    path: Histogram<u64>,
+    last: [u64; 2],
+    added: Vec<i64>,
+    late: Histogram<u64>,
     failed: u64,
+    calls: u64,
+    ingress_us: u64,
+    gate_us: u64,
 }
 
-/// Calls `address` at a fixed rate, whatever the answers take.
-async fn load(address: SocketAddr, args: &Args) -> Load {
-    let caller = Caller::default();
-    let mut ticks = interval(Duration::from_nanos(1_000_000_000 / args.rate.max(1)));
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
-    let mut calls = JoinSet::new();
-    for _ in 0..args.rate * args.seconds {
-        ticks.tick().await;
-        let caller = caller.clone();
-        calls.spawn(async move {
-            let started = Instant::now();
-            let answer = caller.get(address, HOST, "/proofs/1").await;
-            let whole = answer.is_ok_and(|answer| answer.status.is_success());
-            (whole, started.elapsed())
-        });
+impl Both {
+    fn new() -> Self {
+        Self {
+            direct: report::histogram(),
+            path: report::histogram(),
+            last: [0; 2],
+            added: Vec::new(),
+            late: report::histogram(),
+            failed: 0,
+            calls: 0,
+            ingress_us: 0,
+            gate_us: 0,
+        }
     }
-    let mut load = Load {
-        latency: report::histogram(),
-        failed: 0,
-    };
-    while let Some(call) = calls.join_next().await {
-        match call {
-            Ok((true, elapsed)) => load.latency.saturating_record(elapsed.as_micros() as u64),
-            _ => load.failed += 1,
+
+    /// Makes direct calls and then calls through the path, with the processor time of both daemons.
+    async fn round(
+        &mut self,
+        upstream: SocketAddr,
+        ingress: SocketAddr,
+        path: &str,
+        args: &Args,
+        fleet: &harness::Fleet,
+    ) -> Result<(), Error> {
+        self.part(true, upstream, path, args).await?;
+        let used = |i: usize| processor_us(&fleet.daemons[i].process);
+        let before = (used(0), used(1));
+        self.part(false, ingress, path, args).await?;
+        self.ingress_us += used(0) - before.0;
+        self.gate_us += used(1) - before.1;
+        self.end_round();
+        Ok(())
+    }
+
+    async fn part(
+        &mut self,
+        direct: bool,
+        address: SocketAddr,
+        path: &str,
+        args: &Args,
+    ) -> Result<(), Error> {
+        let ask = Ask::get(address, path);
+        let time = Duration::from_secs(args.seconds);
+        let ended = load::run(args.rate, time, move |_| ask.clone()).await?;
+        let mut round = report::histogram();
+        for call in &ended {
+            self.late.saturating_record(call.late.as_micros() as u64);
+            match call.is_good() {
+                true => round.saturating_record(call.latency.as_micros() as u64),
+                false => self.failed += 1,
+            }
         }
+        self.last[usize::from(!direct)] = round.value_at_quantile(0.99);
+        let all = match direct {
+            true => &mut self.direct,
+            false => {
+                self.calls += ended.len() as u64;
+                &mut self.path
+            }
+        };
+        // Both have the same bounds.
+        let _ = all.add(&round);
+        Ok(())
+    }
+
+    fn end_round(&mut self) {
+        self.added.push(self.last[1] as i64 - self.last[0] as i64);
+    }
+
+    fn print(&self, what: &'static str, rate: u64, rounds: u64) {
+        let added = |quantile| {
+            self.path.value_at_quantile(quantile) as i64
+                - self.direct.value_at_quantile(quantile) as i64
+        };
+        let calls = self.calls.max(1) as f64;
+        report::print(&Report {
+            bench: "calls",
+            what,
+            rate,
+            rounds,
+            direct_us: Micros::from(&self.direct),
+            path_us: Micros::from(&self.path),
+            added_p50_us: added(0.5),
+            added_p99_us: added(0.99),
+            added_p999_us: added(0.999),
+            added_p99_by_round_us: self.added.clone(),
+            late_p99_us: self.late.value_at_quantile(0.99),
+            failed: self.failed,
+            ingress_us_per_call: self.ingress_us as f64 / calls,
+            gate_us_per_call: self.gate_us as f64 / calls,
+            machine_load: machine_load(),
+        });
     }
-    load
 }
--- a/crates/call/src/limit.rs
+++ b/crates/call/src/limit.rs
@@ -10,24 +10,21 @@
 /// Share of the limit that is left after a slow round.
 const SLOW_FACTOR: f64 = 0.9;
 
-/// Latency of a slow round, in multiples of the base latency.
-const SLOW_RATIO: f64 = 4.0;
+/// Latency with many calls at once that is too slow, in multiples of that with few.
+const SLOW_RATIO: f64 = 3.0;
 
 /// Share of the slots that slowness alone leaves at least: it may come from the calls themselves.
-const SLOW_FLOOR: f64 = 0.25;
+const SLOW_FLOOR: f64 = 0.5;
 
 /// Share of the limit that is added by a round without trouble.
 const GROWTH: f64 = 0.1;
 
-/// Share of the limit that must be in use for a round to raise it.
+/// Share of the limit from which many calls run at once, and from which a round raises it.
 const BUSY: f64 = 0.5;
 
-/// Weight of a new sample in the mean latency.
+/// Weight of a new sample in the mean latencies.
 const MEAN_WEIGHT: f64 = 0.1;
 
-/// Weight of a new mean in the base latency when the mean is above it.
-const BASE_WEIGHT: f64 = 0.002;
-
 /// Shortest time between two changes of the limit.
 const MIN_ROUND: Duration = Duration::from_millis(50);
 
@@ -47,8 +44,12 @@
 pub struct Limit {
     slots: u32,
     limit: f64,
+    /// Mean latency of all calls, in seconds.
     mean: Option<f64>,
-    base: Option<f64>,
+    /// Mean latency with few calls at once, in seconds.
+    few: Option<f64>,
+    /// Mean latency with many calls at once, in seconds.
+    many: Option<f64>,
     changed: Option<Instant>,
 }
 
@@ -59,7 +60,8 @@
             slots,
             limit: f64::from(slots),
             mean: None,
-            base: None,
+            few: None,
+            many: None,
             changed: None,
         }
     }
@@ -94,23 +96,28 @@
             return;
         }
         let latency = sample.latency.as_secs_f64();
-        let mean = *self.mean.insert(
-            self.mean
-                .map_or(latency, |mean| mean + (latency - mean) * MEAN_WEIGHT),
-        );
-        let base = self.base.map_or(mean, |base| match mean < base {
-            true => mean,
-            false => base + (mean - base) * BASE_WEIGHT,
-        });
-        self.base = Some(base);
+        update(&mut self.mean, latency);
+        if f64::from(sample.running) < self.limit * BUSY {
+            update(&mut self.few, latency);
+            return;
+        }
+        update(&mut self.many, latency);
         let floor = f64::from(self.slots) * SLOW_FLOOR;
-        if mean > base * SLOW_RATIO && self.limit > floor {
+        if self.is_slow() && self.limit > floor {
             self.change(now, |limit| (limit * SLOW_FACTOR).max(floor));
-        } else if f64::from(sample.running) >= self.limit * BUSY {
+        } else {
             self.change(now, |limit| limit + (limit * GROWTH).max(0.2));
         }
     }
 
+    /// Returns whether calls take much longer when many run at once.
+    fn is_slow(&self) -> bool {
+        match (self.few, self.many) {
+            (Some(few), Some(many)) => many > few * SLOW_RATIO,
+            _ => false,
+        }
+    }
+
     /// Changes the limit, once a round at most.
     fn change(&mut self, now: Instant, change: impl FnOnce(f64) -> f64) {
         let round = MIN_ROUND.max(self.latency());
@@ -121,3 +128,8 @@
         self.limit = change(self.limit).clamp(1.0, f64::from(self.slots.max(1)));
     }
 }
+
+/// Takes `value` into a moving mean.
+fn update(mean: &mut Option<f64>, value: f64) {
+    *mean = Some(mean.map_or(value, |mean| mean + (value - mean) * MEAN_WEIGHT));
+}
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -130,6 +130,44 @@
     assert_eq!(limit.get(), 5);
 }
 
+#[test]
+fn limit_falls_when_many_calls_at_once_take_much_longer() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    for (running, latency, expected) in [(1, 10, 12), (12, 100, 6), (6, 10, 12)] {
+        for _ in 0..100 {
+            now += millis(200);
+            let latency = millis(latency);
+            let refused = false;
+            limit.observe(
+                Sample {
+                    latency,
+                    refused,
+                    running,
+                },
+                now,
+            );
+        }
+        assert_eq!(limit.get(), expected);
+    }
+}
+
+#[test]
+fn limit_stays_where_calls_differ_whatever_runs_beside_them() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    for i in 0..1_000 {
+        now += millis(100);
+        let sample = Sample {
+            latency: millis(if i % 3 == 0 { 200 } else { 5 }),
+            refused: false,
+            running: 1 + i % 12,
+        };
+        limit.observe(sample, now);
+    }
+    assert_eq!(limit.get(), 12);
+}
+
 #[test]
 fn budget_allows_a_share_of_first_tries() {
     let mut budget = Budget::default();
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -9,15 +9,17 @@
 use axum::body::Bytes;
 use axum::extract::State;
 use axum::response::{IntoResponse, Response};
-use call::{Announcement, KEY, REQUEST_ID, Readiness};
+use call::{Announcement, DEADLINE, KEY, REQUEST_ID, Readiness};
+use http::header::HOST;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use model::{Millis, ServiceName, VmId};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Duration, sleep};
 
@@ -51,6 +53,13 @@
     pub answer_bytes: usize,
     /// Whether every call is refused with 503.
     pub refuse: bool,
+    /// Whether every call fails with 500.
+    pub fail: bool,
+    /// Whether calls beyond the slots wait for one, instead of being refused with 429. Like a
+    /// pool of workers, it then does not notice that a caller has gone.
+    pub queue: bool,
+    /// Where calls of `.../chain/N` are passed on to as `.../chain/N-1`, down to 0.
+    pub forward: Option<SocketAddr>,
     /// State announced, whatever the upstream does.
     pub announce: Option<Readiness>,
 }
@@ -61,6 +70,9 @@
             service_time: Millis::new(0),
             answer_bytes: 0,
             refuse: false,
+            fail: false,
+            queue: false,
+            forward: None,
             announce: Some(Readiness::Ready),
         }
     }
@@ -98,6 +110,9 @@
     behaviour: watch::Sender<Behaviour>,
     runs: Mutex<Vec<Run>>,
     running: AtomicU32,
+    /// Slots of an upstream that lets calls wait.
+    workers: Semaphore,
+    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// State of an upstream, shared by its handlers.
@@ -152,7 +167,11 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let control_address = control.local_addr()?;
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
         let shared = Shared(Arc::new(Inner {
+            workers: Semaphore::new(settings.slots as usize),
+            client: Client::builder(TokioExecutor::new()).build(connector),
             settings,
             behaviour: watch::Sender::new(Behaviour::default()),
             runs: Mutex::default(),
@@ -231,7 +250,7 @@
     }
 }
 
-/// Runs one call.
+/// Takes one call.
 async fn answer(
     State(shared): State<Shared>,
     method: Method,
@@ -243,11 +262,32 @@
     if behaviour.refuse {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if behaviour.queue {
+        let queued = tokio::spawn(async move {
+            let _worker = shared.0.workers.acquire().await;
+            let behaviour = shared.0.behaviour.borrow().clone();
+            run(&shared, &behaviour, method, uri, headers, body).await
+        });
+        let failed = |_| StatusCode::INTERNAL_SERVER_ERROR.into_response();
+        return queued.await.unwrap_or_else(failed);
+    }
     let running = shared.0.running.fetch_add(1, Ordering::SeqCst);
     let _running = Running(&shared.0.running);
     if running >= shared.0.settings.slots {
         return StatusCode::TOO_MANY_REQUESTS.into_response();
     }
+    run(&shared, &behaviour, method, uri, headers, body).await
+}
+
+/// Runs one call.
+async fn run(
+    shared: &Shared,
+    behaviour: &Behaviour,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
     let request_id = text(&headers, REQUEST_ID.as_str());
     let index = shared.start(Run {
         request_id: request_id.clone(),
@@ -261,6 +301,12 @@
     if behaviour.service_time.get() > 0 {
         sleep(behaviour.service_time.duration()).await;
     }
+    if behaviour.fail {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    if let Some(status) = forward(shared, behaviour, &uri, &headers).await {
+        return status.into_response();
+    }
     let settings = &shared.0.settings;
     let answer = Answer {
         service: &settings.service,
@@ -276,6 +322,36 @@
     ([("content-type", "application/json")], json).into_response()
 }
 
+/// Passes a call of a chain on, and returns the status that came back unless it is a success.
+async fn forward(
+    shared: &Shared,
+    behaviour: &Behaviour,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Option<StatusCode> {
+    let address = behaviour.forward?;
+    let (start, left) = uri.path().rsplit_once('/')?;
+    let left: u32 = left.parse().ok().filter(|left| *left > 0)?;
+    if !start.ends_with("/chain") {
+        return None;
+    }
+    let mut request = Request::builder().uri(format!("http://{address}{start}/{}", left - 1));
+    for name in [HOST, REQUEST_ID, DEADLINE] {
+        if let Some(value) = headers.get(&name) {
+            request = request.header(name, value);
+        }
+    }
+    let bad = Some(StatusCode::BAD_GATEWAY);
+    let Ok(request) = request.body(Full::default()) else {
+        return bad;
+    };
+    match shared.0.client.request(request).await {
+        Ok(response) if response.status().is_success() => None,
+        Ok(response) => Some(response.status()),
+        Err(_) => bad,
+    }
+}
+
 /// Counts a call as running until it ends or is cancelled.
 struct Running<'a>(&'a AtomicU32);
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,8 @@
 
 use crate::cli::Cli;
 
-#[tokio::main]
+// More threads cost more wake-ups a call than they save: a daemon runs few calls at once.
+#[tokio::main(worker_threads = 2)]
 async fn main() -> ExitCode {
     match command::run(Cli::parse()).await {
         Ok(()) => ExitCode::SUCCESS,
