Bound the time in the gate's queue, and measure plain hops beside the path

The calls benchmark runs the same load through two plain HTTP processes: it tells what the machine adds from what the path adds. Ruled out as cause of the tail: connections (strace: 4 connects in 4,000 calls, all announcements), a hot spot of our own (perf: flat, task switches on top).

--- a/crates/bench/src/call/calls.rs
+++ b/crates/bench/src/call/calls.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use clap::Args as ClapArgs;
-use harness::Error;
+use harness::{Error, Fleet, Process};
 use hdrhistogram::Histogram;
-use serde::Serialize;
-use standin::Behaviour;
+use serde::{Deserialize, Serialize};
+use standin::{Behaviour, ControlClient};
 
 use crate::call::bed::{self, machine_load, processor_us};
 use crate::call::load::{self, Ask};
@@ -40,6 +40,9 @@
     rate: u64,
     rounds: u64,
     direct_us: Micros,
+    /// Through two plain HTTP processes, as many as the path has: what the machine itself adds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    plain_us: Option<Micros>,
     path_us: Micros,
     /// Difference of the quantiles of all rounds.
     added_p50_us: i64,
@@ -58,10 +61,13 @@
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
     let fleet = bed::open(2, 1).await?;
+    let relay = Relay::open(&fleet).await?;
     let ingress = fleet.daemons[0].caller;
     let upstream = fleet.upstreams[0].address;
     let mut both = Both::new();
     for _ in 0..args.rounds {
+        both.part(Part::Plain, relay.address, RELAY_PATH, &args)
+            .await?;
         both.round(upstream, ingress, "/proofs/1", &args, &fleet)
             .await?;
     }
@@ -100,7 +106,11 @@
                 true => fleet.upstreams[0].address,
                 false => fleet.daemons[0].caller,
             };
-            both.part(straight, address, &path, &chained).await?;
+            let part = match straight {
+                true => Part::Direct,
+                false => Part::Path,
+            };
+            both.part(part, address, &path, &chained).await?;
         }
         both.end_round();
     }
@@ -108,8 +118,60 @@
     Ok(())
 }
 
-/// Direct calls and those through the path.
+/// Path of a call that passes two plain processes on its way.
+const RELAY_PATH: &str = "/proofs/chain/2";
+
+/// Ready line of a stand-in.
+#[derive(Debug, Deserialize)]
+struct Ready {
+    address: SocketAddr,
+    control: SocketAddr,
+}
+
+/// Two plain HTTP processes before an upstream.
+struct Relay {
+    address: SocketAddr,
+    _processes: Vec<Process>,
+}
+
+impl Relay {
+    async fn open(fleet: &Fleet) -> Result<Self, Error> {
+        let mut address = fleet.upstreams[0].address;
+        let mut processes = Vec::new();
+        for vm in ["p-1", "p-2"] {
+            // It announces itself to nobody.
+            let args = ["upstream", "--vm", vm, "--service", "plain"];
+            let args = args.iter().chain(&["--daemon", "127.0.0.1:9"]);
+            let args: Vec<String> = args.map(ToString::to_string).collect();
+            let (process, ready) = Process::spawn::<Ready>("standin", &args, None).await?;
+            let behaviour = Behaviour {
+                forward: Some(address),
+                announce: None,
+                ..Behaviour::default()
+            };
+            let control = ControlClient::open(ready.control);
+            control.set_behaviour(&behaviour).await?;
+            address = ready.address;
+            processes.push(process);
+        }
+        Ok(Self {
+            address,
+            _processes: processes,
+        })
+    }
+}
+
+/// Which way a part's calls go.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Part {
+    Direct,
+    Plain,
+    Path,
+}
+
+/// Calls of each part.
 struct Both {
+    plain: Histogram<u64>,
     direct: Histogram<u64>,
     path: Histogram<u64>,
     last: [u64; 2],
@@ -124,6 +186,7 @@
 impl Both {
     fn new() -> Self {
         Self {
+            plain: report::histogram(),
             direct: report::histogram(),
             path: report::histogram(),
             last: [0; 2],
@@ -143,12 +206,12 @@
         ingress: SocketAddr,
         path: &str,
         args: &Args,
-        fleet: &harness::Fleet,
+        fleet: &Fleet,
     ) -> Result<(), Error> {
-        self.part(true, upstream, path, args).await?;
+        self.part(Part::Direct, upstream, path, args).await?;
         let used = |i: usize| processor_us(&fleet.daemons[i].process);
         let before = (used(0), used(1));
-        self.part(false, ingress, path, args).await?;
+        self.part(Part::Path, ingress, path, args).await?;
         self.ingress_us += used(0) - before.0;
         self.gate_us += used(1) - before.1;
         self.end_round();
@@ -157,7 +220,7 @@
 
     async fn part(
         &mut self,
-        direct: bool,
+        part: Part,
         address: SocketAddr,
         path: &str,
         args: &Args,
@@ -173,10 +236,15 @@
                 false => self.failed += 1,
             }
         }
-        self.last[usize::from(!direct)] = round.value_at_quantile(0.99);
-        let all = match direct {
-            true => &mut self.direct,
-            false => {
+        let p99 = round.value_at_quantile(0.99);
+        let all = match part {
+            Part::Plain => &mut self.plain,
+            Part::Direct => {
+                self.last[0] = p99;
+                &mut self.direct
+            }
+            Part::Path => {
+                self.last[1] = p99;
                 self.calls += ended.len() as u64;
                 &mut self.path
             }
@@ -202,6 +270,7 @@
             rate,
             rounds,
             direct_us: Micros::from(&self.direct),
+            plain_us: (!self.plain.is_empty()).then(|| Micros::from(&self.plain)),
             path_us: Micros::from(&self.path),
             added_p50_us: added(0.5),
             added_p99_us: added(0.99),
--- a/crates/bench/src/call/load.rs
+++ b/crates/bench/src/call/load.rs
@@ -69,6 +69,8 @@
     pub(crate) status: Option<StatusCode>,
     /// Outcome that the system stated.
     pub(crate) outcome: Option<String>,
+    /// Why the system itself answered.
+    pub(crate) kind: Option<String>,
 }
 
 impl Ended {
@@ -128,7 +130,11 @@
         let (ask, idle) = (ask(number), Rc::clone(&idle));
         calls.push(tokio::task::spawn_local(async move {
             let sent = Instant::now();
-            let (status, outcome) = tries(&ask, &idle).await;
+            let Answer {
+                status,
+                outcome,
+                kind,
+            } = tries(&ask, &idle).await;
             Ended {
                 number,
                 at: sent - start,
@@ -136,6 +142,7 @@
                 late: sent - due,
                 status,
                 outcome,
+                kind,
             }
         }));
     }
@@ -148,13 +155,21 @@
     ended
 }
 
+/// What came back of a call.
+#[derive(Debug, Default)]
+struct Answer {
+    status: Option<StatusCode>,
+    outcome: Option<String>,
+    kind: Option<String>,
+}
+
 /// Makes a call and repeats it while no good answer comes.
-async fn tries(ask: &Ask, idle: &Idle) -> (Option<StatusCode>, Option<String>) {
-    let mut ended = (None, None);
+async fn tries(ask: &Ask, idle: &Idle) -> Answer {
+    let mut ended = Answer::default();
     for _ in 0..=ask.retries {
-        if let Ok(Ok((status, outcome))) = timeout(ask.timeout, call(ask, idle)).await {
-            ended = (Some(status), outcome);
-            if status.is_success() {
+        if let Ok(Ok(answer)) = timeout(ask.timeout, call(ask, idle)).await {
+            ended = answer;
+            if ended.status.is_some_and(|status| status.is_success()) {
                 break;
             }
         }
@@ -164,7 +179,7 @@
 
 type AnyError = Box<dyn std::error::Error>;
 
-async fn call(ask: &Ask, idle: &Idle) -> Result<(StatusCode, Option<String>), AnyError> {
+async fn call(ask: &Ask, idle: &Idle) -> Result<Answer, AnyError> {
     let mut sender = connection(ask.address, idle).await?;
     let mut request = Request::builder()
         .method(ask.method.clone())
@@ -177,9 +192,15 @@
     let (parts, body) = response.into_parts();
     body.collect().await?;
     idle.borrow_mut().push((ask.address, sender));
-    let outcome = parts.headers.get("sardinestall-outcome");
-    let outcome = outcome.and_then(|value| value.to_str().ok());
-    Ok((parts.status, outcome.map(Into::into)))
+    let text = |name| {
+        let value = parts.headers.get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    Ok(Answer {
+        status: Some(parts.status),
+        outcome: text("sardinestall-outcome"),
+        kind: text("sardinestall-kind"),
+    })
 }
 
 async fn connection(
--- a/crates/bench/src/call/overload.rs
+++ b/crates/bench/src/call/overload.rs
@@ -1,6 +1,7 @@
 //! Goodput, latency and refusals from half of the capacity to three times of it, against callers
 //! that call the upstreams in turn and repeat what fails.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -50,6 +51,7 @@
     /// Good answers by priority, high first.
     good: [Micros; 3],
     refused: u64,
+    refused_by_kind: BTreeMap<String, u64>,
     refusals_us: Micros,
     /// Calls without any answer, or with one that came too late.
     lost: u64,
@@ -123,6 +125,7 @@
         report::histogram(),
     ];
     let mut refusals = report::histogram();
+    let mut kinds = BTreeMap::new();
     let mut lost = 0;
     for call in ended {
         let micros = call.latency.as_micros() as u64;
@@ -130,6 +133,8 @@
             good[(call.number % 3) as usize].saturating_record(micros);
         } else if call.outcome.as_deref() == Some("not-run") {
             refusals.saturating_record(micros);
+            let kind = call.kind.clone().unwrap_or_default();
+            *kinds.entry(kind).or_insert(0) += 1;
         } else {
             lost += 1;
         }
@@ -143,6 +148,7 @@
         goodput_per_s: answered as f64 / args.seconds as f64,
         good: good.each_ref().map(Micros::from),
         refused: refusals.len(),
+        refused_by_kind: kinds,
         refusals_us: Micros::from(&refusals),
         lost,
         machine_load: machine_load(),
--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -78,30 +78,28 @@
         self.lock().load()
     }
 
-    /// Waits for a slot until `deadline`, if there is hope for one.
+    /// Waits for a slot as long as there is hope for one before `deadline`.
     pub(crate) async fn enter(&self, priority: Priority, deadline: Instant) -> Verdict {
         let (waiter, verdict) = oneshot::channel();
         let entry = self
             .lock()
             .enter(priority, deadline, waiter, Instant::now());
-        let place = match entry {
+        let (place, until) = match entry {
             Entry::Run => return Ok(self.slot()),
             Entry::Shed(shed) => return Err(shed),
-            Entry::Wait { rank, shed } => {
+            Entry::Wait { rank, until, shed } => {
                 if let Some(shed) = shed {
                     let _ = shed.send(Err(Shed::Full));
                 }
-                Place {
-                    admission: self,
-                    rank,
-                }
+                let admission = self;
+                (Place { admission, rank }, until)
             }
         };
-        let verdict = timeout_at(deadline, verdict).await;
+        let verdict = timeout_at(until, verdict).await;
         drop(place);
         match verdict {
             Ok(Ok(verdict)) => verdict,
-            Ok(Err(_)) | Err(_) => Err(Shed::Deadline),
+            Ok(Err(_)) | Err(_) => Err(Shed::Full),
         }
     }
 
--- a/crates/call/src/health.rs
+++ b/crates/call/src/health.rs
@@ -26,7 +26,7 @@
 const ASIDE_MIN: Duration = Duration::from_secs(2);
 
 /// Longest time that an upstream is set aside.
-const ASIDE_MAX: Duration = Duration::from_secs(60);
+const ASIDE_MAX: Duration = Duration::from_secs(15);
 
 /// Time that an upstream is left alone after it said that it is leaving.
 const LEAVING: Duration = Duration::from_secs(1);
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -12,6 +12,12 @@
 /// Calls that may wait, for each call that may run.
 const QUEUE_PER_SLOT: u32 = 2;
 
+/// Longest time in the queue, in multiples of the time in which a full queue is run.
+const PATIENCE: f64 = 2.0;
+
+/// Shortest limit on the time in the queue.
+const MIN_PATIENCE: Duration = Duration::from_millis(20);
+
 /// Why a call was not admitted.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Shed {
@@ -38,6 +44,8 @@
     Wait {
         /// Its place.
         rank: Rank,
+        /// When it has waited so long that it is shed: others keep going before it.
+        until: Instant,
         /// The call that was shed.
         shed: Option<W>,
     },
@@ -121,7 +129,8 @@
             }
         }
         self.waiting.insert(rank, waiter);
-        Entry::Wait { rank, shed }
+        let until = deadline.min(now + self.patience());
+        Entry::Wait { rank, until, shed }
     }
 
     /// Notes that a call no longer waits by its own will.
@@ -155,6 +164,12 @@
         next
     }
 
+    /// Returns how long a call may wait.
+    fn patience(&self) -> Duration {
+        let full = self.limit.latency() * QUEUE_PER_SLOT;
+        full.mul_f64(PATIENCE).max(MIN_PATIENCE)
+    }
+
     /// Returns how long a call waits that has `before` others before it.
     fn wait(&self, before: u32) -> Duration {
         let rounds = f64::from(before + 1) / f64::from(self.limit.get().max(1));
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -76,6 +76,18 @@
     assert_eq!((next.run, next.late), (vec![], vec![2]));
 }
 
+#[test]
+fn call_that_others_overtake_is_shed_before_its_deadline() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(50), now);
+    let entry = queue.enter(Priority::Low, now + 10 * SECOND, 1, now);
+    let Entry::Wait { until, .. } = entry else {
+        panic!("{entry:?}");
+    };
+    // Twice the time in which two calls of 50 ms are run.
+    assert_eq!(until, now + millis(200));
+}
+
 #[test]
 fn resized_queue_counts_the_calls_that_run() {
     let now = Instant::now();
