--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
-use crate::limit::Sample;
+use crate::limit::{Reply, Sample};
 use crate::queue::{Entry, Queue, Rank, Shed};
 
 /// What a waiting call is told.
@@ -49,13 +49,13 @@
 }
 
 impl Slot {
-    /// Notes that the upstream answered after `latency`, and whether it refused for its load.
-    pub(crate) fn observe(&self, latency: Duration, refused: bool) {
+    /// Notes how the upstream answered after `latency`.
+    pub(crate) fn observe(&self, latency: Duration, reply: Reply) {
         let mut queue = self.admission.lock();
         let running = queue.running();
         let sample = Sample {
             latency,
-            refused,
+            reply,
             running,
         };
         queue.observe(sample, Instant::now());
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -18,6 +18,7 @@
 use crate::connections::{Connections, InUse};
 use crate::header::{DEADLINE, FLEET_KEY, KEY, LOAD, SERVICE, number, remove_hop, remove_own};
 use crate::keys::{Claim, Entry, Fate, Keys};
+use crate::limit::Reply;
 use crate::queue::Shed;
 use crate::request::priority;
 use crate::serve::{Server, ServerError};
@@ -115,12 +116,16 @@
                 if refusal.outcome == Outcome::NotRun {
                     note(&mut claim, None);
                 }
+                if refusal.kind == RefusalKind::Deadline {
+                    running.slot.observe(started.elapsed(), Reply::Late);
+                }
                 return Err(refusal);
             }
         };
         note(&mut claim, Some(Fate::Ran));
-        let refused = refuses(response.status());
-        running.slot.observe(started.elapsed(), refused);
+        running
+            .slot
+            .observe(started.elapsed(), reply(response.status()));
         remove_hop(response.headers_mut());
         remove_own(response.headers_mut());
         let held = Held {
@@ -204,11 +209,11 @@
 }
 
 /// Returns whether an upstream's answer says that it has too much to do.
-fn refuses(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-    )
+fn reply(status: StatusCode) -> Reply {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Reply::Refused,
+        _ => Reply::Ran,
+    }
 }
 
 fn deadline(headers: &HeaderMap) -> Instant {
--- a/crates/call/src/limit.rs
+++ b/crates/call/src/limit.rs
@@ -7,34 +7,39 @@
 /// Share of the limit that is left after a refusal.
 const REFUSED_FACTOR: f64 = 0.7;
 
-/// Share of the limit that is left after a slow round.
-const SLOW_FACTOR: f64 = 0.9;
-
-/// Latency with many calls at once that is too slow, in multiples of that with few.
-const SLOW_RATIO: f64 = 3.0;
-
-/// Share of the slots that slowness alone leaves at least: it may come from the calls themselves.
-const SLOW_FLOOR: f64 = 0.5;
+/// Time without an answer that counts as a refusal, in multiples of the mean latency.
+const LATE_RATIO: f64 = 4.0;
 
 /// Share of the limit that is added by a round without trouble.
 const GROWTH: f64 = 0.1;
 
-/// Share of the limit from which many calls run at once, and from which a round raises it.
+/// Share of the limit that must be in use for a round to raise it.
 const BUSY: f64 = 0.5;
 
-/// Weight of a new sample in the mean latencies.
+/// Weight of a new sample in the mean latency.
 const MEAN_WEIGHT: f64 = 0.1;
 
 /// Shortest time between two changes of the limit.
 const MIN_ROUND: Duration = Duration::from_millis(50);
 
-/// One answer of the upstream.
+/// How the upstream answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reply {
+    /// It ran the call.
+    Ran,
+    /// It refused the call for its load.
+    Refused,
+    /// It did not answer before the deadline.
+    Late,
+}
+
+/// One call of the upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Sample {
-    /// Time until the head of the answer.
+    /// Time until the head of the answer, or until the deadline.
     pub latency: Duration,
-    /// Whether the upstream refused the call for its load.
-    pub refused: bool,
+    /// How the upstream answered.
+    pub reply: Reply,
     /// Calls that ran at the same time, this one among them.
     pub running: u32,
 }
@@ -44,12 +49,8 @@
 pub struct Limit {
     slots: u32,
     limit: f64,
-    /// Mean latency of all calls, in seconds.
+    /// Mean latency, in seconds.
     mean: Option<f64>,
-    /// Mean latency with few calls at once, in seconds.
-    few: Option<f64>,
-    /// Mean latency with many calls at once, in seconds.
-    many: Option<f64>,
     changed: Option<Instant>,
 }
 
@@ -60,8 +61,6 @@
             slots,
             limit: f64::from(slots),
             mean: None,
-            few: None,
-            many: None,
             changed: None,
         }
     }
@@ -89,32 +88,26 @@
         }
     }
 
-    /// Learns from an answer.
+    /// Learns from a call.
+    ///
+    /// Latency alone does not lower the limit: it differs by call and by what the upstream waits
+    /// for. A caller's own short deadline does not lower it either.
     pub fn observe(&mut self, sample: Sample, now: Instant) {
-        if sample.refused {
-            self.change(now, |limit| limit * REFUSED_FACTOR);
-            return;
-        }
         let latency = sample.latency.as_secs_f64();
-        update(&mut self.mean, latency);
-        if f64::from(sample.running) < self.limit * BUSY {
-            update(&mut self.few, latency);
-            return;
-        }
-        update(&mut self.many, latency);
-        let floor = f64::from(self.slots) * SLOW_FLOOR;
-        if self.is_slow() && self.limit > floor {
-            self.change(now, |limit| (limit * SLOW_FACTOR).max(floor));
-        } else {
-            self.change(now, |limit| limit + (limit * GROWTH).max(0.2));
-        }
-    }
-
-    /// Returns whether calls take much longer when many run at once.
-    fn is_slow(&self) -> bool {
-        match (self.few, self.many) {
-            (Some(few), Some(many)) => many > few * SLOW_RATIO,
-            _ => false,
+        match sample.reply {
+            Reply::Refused => self.change(now, |limit| limit * REFUSED_FACTOR),
+            Reply::Late => {
+                if self.mean.is_some_and(|mean| latency > mean * LATE_RATIO) {
+                    self.change(now, |limit| limit * REFUSED_FACTOR);
+                }
+            }
+            Reply::Ran => {
+                let mean = self.mean.unwrap_or(latency);
+                self.mean = Some(mean + (latency - mean) * MEAN_WEIGHT);
+                if f64::from(sample.running) >= self.limit * BUSY {
+                    self.change(now, |limit| limit + (limit * GROWTH).max(0.2));
+                }
+            }
         }
     }
 
@@ -128,8 +121,3 @@
         self.limit = change(self.limit).clamp(1.0, f64::from(self.slots.max(1)));
     }
 }
-
-/// Takes `value` into a moving mean.
-fn update(mean: &mut Option<f64>, value: f64) {
-    *mean = Some(mean.map_or(value, |mean| mean + (value - mean) * MEAN_WEIGHT));
-}
