Keep the end of a daemon as news until its retention is over

Cause: the end of an unknown VM was dropped, so that ended records would not come back after they were swept. A `Left` record that overtook an older `Ready` one was lost, and the older one routed calls to a daemon that was gone; the property test that merging is commutative failed (3 tests in proof). Ruled out: keeping the end only in floods, not in bulk transfers; a daemon that joins would restart its retention, and nothing but chance would end the record.

Change: a record states when its daemon ended, so every daemon drops it at the same time and an end that is over its retention is no news. The test of the retention used a local clock; it now uses the end in the record, with the same bounds.

--- a/crates/bench/src/spread/sizes.rs
+++ b/crates/bench/src/spread/sizes.rs
@@ -85,6 +85,7 @@
         region: format!("region-{region}"),
         slots: 12,
         expired: false,
+        ended_ms: 0,
     }
 }
 
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -163,6 +163,7 @@
         region: "cz-morava".parse().expect("a valid name"),
         slots,
         expired: false,
+        ended: None,
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -277,6 +277,7 @@
         region: settings.vm.region.clone(),
         slots: 0,
         expired: false,
+        ended: None,
     }
 }
 
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use model::{DomainName, ServiceName, VmId};
+use model::{DomainName, ServiceName, UnixMillis, VmId};
 use tokio::sync::watch;
 
 use crate::{BucketIndex, Buckets, Record, UpstreamState};
@@ -14,8 +14,8 @@
 /// Most records kept: twice the fleet that the system is designed for.
 pub const MAX_RECORDS: usize = 34_000;
 
-/// Time that the record of a daemon that left or expired is kept, so that an older record of it,
-/// which a part of the fleet may still hold, is known to be older.
+/// Time after its end that the record of a daemon is kept, so that an older record of it, which a
+/// part of the fleet may still hold, is known to be older.
 pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// Position in the order in which this process learned of records.
@@ -32,8 +32,6 @@
     record: Record,
     sequence: Sequence,
     link: LinkId,
-    /// When the record may be dropped; absent while the daemon lives.
-    drop_at: Option<Instant>,
 }
 
 /// Records under one lock, one slot for each VM.
@@ -106,6 +104,8 @@
         let mut record = inner.slots[&self.own].record.clone();
         update(&mut record);
         record.counter += 1;
+        let left = record.state == UpstreamState::Left;
+        record.ended = left.then(UnixMillis::now);
         inner.set(record.clone(), LinkId::default());
         let last = inner.last;
         drop(inner);
@@ -120,6 +120,7 @@
             return None;
         }
         record.expired = true;
+        record.ended = Some(UnixMillis::now());
         self.merge(vec![record], LinkId::default()).pop()
     }
 
@@ -234,18 +235,14 @@
         inside.cloned().collect()
     }
 
-    /// Drops the records of daemons that left or expired longer than [`RETENTION`] ago.
-    pub fn sweep(&self, now: Instant) {
+    /// Drops the records of daemons that ended at least [`RETENTION`] before `now`.
+    pub fn sweep(&self, now: UnixMillis) {
         let mut inner = self.lock();
-        let mut dropped = Vec::new();
-        for (vm, slot) in &mut inner.slots {
-            if slot.record.is_alive() || *vm == self.own {
-                continue;
-            }
-            if *slot.drop_at.get_or_insert(now + RETENTION) <= now {
-                dropped.push(vm.clone());
-            }
-        }
+        let old = inner
+            .slots
+            .values()
+            .filter(|slot| slot.record.ended_before(now, RETENTION) && slot.record.vm != self.own);
+        let dropped: Vec<VmId> = old.map(|slot| slot.record.vm.clone()).collect();
         for vm in dropped {
             inner.remove(&vm);
         }
@@ -262,11 +259,11 @@
 }
 
 impl Inner {
-    /// Returns whether `record` is no news; the end of an unknown daemon is none.
+    /// Returns whether `record` is no news; an end that is no longer kept is none.
     fn is_old(&self, record: &Record) -> bool {
         match self.slots.get(&record.vm) {
             Some(slot) => record.order(&slot.record) != Ordering::Greater,
-            None => !record.is_alive(),
+            None => record.ended_before(UnixMillis::now(), RETENTION),
         }
     }
 
@@ -308,7 +305,6 @@
         let slot = Slot {
             sequence: self.last,
             link,
-            drop_at: None,
             record,
         };
         self.slots.insert(slot.record.vm.clone(), slot);
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -2,8 +2,9 @@
 
 use std::cmp::Ordering;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use model::{DomainName, Incarnation, RegionName, ServiceName, VmId};
+use model::{DomainName, Incarnation, RegionName, ServiceName, UnixMillis, VmId};
 use wire::fleet;
 
 /// State of the upstream beside a daemon.
@@ -46,15 +47,31 @@
     pub slots: u32,
     /// Whether others expired the record because its writer was not heard of.
     pub expired: bool,
+    /// When the daemon left or was expired; absent while it lives.
+    pub ended: Option<UnixMillis>,
 }
 
 impl Record {
-    /// Orders two records of one VM: the later start, then the later write, then the expiry wins.
+    /// Orders two records of one VM: the later start, then the later write, then the expiry, then
+    /// the later end wins.
     pub fn order(&self, other: &Self) -> Ordering {
-        let rank = |record: &Self| (record.incarnation, record.counter, record.expired);
+        let rank = |record: &Self| {
+            (
+                record.incarnation,
+                record.counter,
+                record.expired,
+                record.ended,
+            )
+        };
         rank(self).cmp(&rank(other))
     }
 
+    /// Returns whether the daemon ended at least `age` before `now`.
+    pub(crate) fn ended_before(&self, now: UnixMillis, age: Duration) -> bool {
+        let age = age.as_millis() as u64;
+        self.ended.is_some_and(|at| at.get() + age <= now.get())
+    }
+
     /// Returns whether the daemon has neither left nor expired.
     pub fn is_alive(&self) -> bool {
         !self.expired && self.state != UpstreamState::Left
@@ -100,6 +117,7 @@
             region: record.region.parse().map_err(|_| fail("region"))?,
             slots: record.slots,
             expired: record.expired,
+            ended: (record.ended_ms != 0).then_some(UnixMillis::new(record.ended_ms)),
         })
     }
 }
@@ -122,6 +140,7 @@
             region: record.region.to_string(),
             slots: record.slots,
             expired: record.expired,
+            ended_ms: record.ended.map_or(0, UnixMillis::get),
         }
     }
 }
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -1,9 +1,7 @@
 //! Merging of membership records.
 
-use std::time::Duration;
-
 use member::{LinkId, MAX_RECORDS, Members, RETENTION, Record, UpstreamState};
-use model::Incarnation;
+use model::{Incarnation, UnixMillis};
 
 const LINK: LinkId = LinkId(1);
 
@@ -20,6 +18,7 @@
         region: "cz-morava".parse().expect("a valid name"),
         slots: 12,
         expired: false,
+        ended: None,
     }
 }
 
@@ -84,22 +83,22 @@
 fn ended_record_is_kept_for_its_retention_and_beats_older_ones_until_then() {
     let members = Members::open(record("a-0", "galleys", 1));
     members.merge(vec![record("a-1", "galleys", 1)], LINK);
-    members.merge(vec![expired(record("a-1", "galleys", 1))], LINK);
-    let now = std::time::Instant::now();
-    members.sweep(now);
-    members.sweep(now + RETENTION - Duration::from_secs(1));
+    let end = UnixMillis::now();
+    let mut ended = expired(record("a-1", "galleys", 1));
+    ended.ended = Some(end);
+    members.merge(vec![ended.clone()], LINK);
+    let retention = RETENTION.as_millis() as u64;
+    members.sweep(end);
+    members.sweep(UnixMillis::new(end.get() + retention - 1));
     members.merge(vec![record("a-1", "galleys", 1)], LINK);
     let vm = "a-1".parse().expect("a valid id");
     assert!(members.get(&vm).is_some_and(|record| record.expired));
 
-    members.sweep(now + RETENTION);
+    members.sweep(UnixMillis::new(end.get() + retention));
     assert_eq!(members.get(&vm), None);
-    // The end of a daemon that is not known any more is no news, and a later start is.
-    assert!(
-        members
-            .merge(vec![expired(record("a-1", "galleys", 1))], LINK)
-            .is_empty()
-    );
+    // An end that is no longer kept is no news, and a later start is.
+    ended.ended = Some(UnixMillis::new(end.get() - retention));
+    assert!(members.merge(vec![ended], LINK).is_empty());
     let mut restarted = record("a-1", "galleys", 1);
     restarted.incarnation = Incarnation::new(2);
     assert_eq!(members.merge(vec![restarted], LINK).len(), 1);
@@ -132,3 +131,17 @@
     );
     assert_eq!(members.all().len(), MAX_RECORDS);
 }
+
+#[test]
+fn end_of_an_unknown_daemon_outranks_an_older_record_that_comes_late() {
+    let members = Members::open(record("a-0", "galleys", 1));
+    let mut left = record("a-1", "galleys", 2);
+    left.state = UpstreamState::Left;
+    left.ended = Some(UnixMillis::now());
+    members.merge(vec![left], LINK);
+    assert!(
+        members
+            .merge(vec![record("a-1", "galleys", 1)], LINK)
+            .is_empty()
+    );
+}
--- a/crates/proof/tests/chain/mod.rs
+++ b/crates/proof/tests/chain/mod.rs
@@ -80,5 +80,6 @@
         region: "proof".parse().expect("a valid name"),
         slots: 12,
         expired: false,
+        ended: None,
     }
 }
--- a/crates/spread/src/repair.rs
+++ b/crates/spread/src/repair.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use member::{BucketIndex, Buckets, Record};
-use model::Version;
+use model::{UnixMillis, Version};
 use rand::RngExt;
 use rand::seq::{IndexedRandom, SliceRandom};
 use slog::{debug, warn};
@@ -32,7 +32,7 @@
             () = sleep(Duration::from_millis(pause)) => {}
             () = hub.stop.cancelled() => return,
         }
-        hub.table.members().sweep(std::time::Instant::now());
+        hub.table.members().sweep(UnixMillis::now());
         let Some(address) = peer(&hub) else {
             continue;
         };
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -84,6 +84,7 @@
             region: "cz-morava".parse().expect("a valid name"),
             slots: 12,
             expired: false,
+            ended: None,
         };
         let settings = Settings {
             vm: record.vm.clone(),
--- a/crates/table/tests/step.rs
+++ b/crates/table/tests/step.rs
@@ -34,6 +34,7 @@
         region: "r".parse().expect("valid"),
         slots: 12,
         expired: false,
+        ended: None,
     }
 }
 
