--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -25,3 +25,4 @@
 };
 pub use metrics::Metrics;
 pub use server::HttpServer;
+pub use spread::Lag;
--- a/crates/admin/src/message.rs
+++ b/crates/admin/src/message.rs
@@ -7,6 +7,7 @@
     AcceptId, Change, Config, FORMAT, Item, Key, OperatorName, State, TeamName, UnixMillis, Version,
 };
 use serde::{Deserialize, Serialize};
+use spread::Lag;
 
 /// What goes with an accept, beside the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -170,6 +171,9 @@
     pub versions: Vec<VersionCount>,
     /// Daemons known by the membership that have not left or expired.
     pub members: u32,
+    /// Some of the daemons that lag, and why, as their relays last reported.
+    #[serde(default)]
+    pub lags: Vec<Lag>,
 }
 
 impl Status {
--- a/crates/admin/src/query.rs
+++ b/crates/admin/src/query.rs
@@ -93,6 +93,10 @@
         Ok(counts) => counts,
         Err(_) => api.node.counts(),
     };
+    let lags = match api.node.fleet_lags().await {
+        Ok(lags) => lags,
+        Err(_) => api.node.lags(),
+    };
     let versions = counts
         .0
         .into_iter()
@@ -103,6 +107,7 @@
         connected: api.node.is_rooted(),
         versions: versions.collect(),
         members: api.members(),
+        lags,
     })
 }
 
--- a/src/describe.rs
+++ b/src/describe.rs
@@ -145,6 +145,12 @@
             count.daemons, count.version
         ));
     }
+    for lag in status.lags.iter().filter(|lag| lag.version < version) {
+        lines.push(format!(
+            "lagging: VM {} serves version {}: {}",
+            lag.vm, lag.version, lag.reason
+        ));
+    }
     let counted: u32 = status.versions.iter().map(|count| count.daemons).sum();
     let missing = status.members.saturating_sub(counted);
     if missing > 0 {
