Take an answer's body and its slot back at the deadline, also from a caller that does not read

Cause: the HTTP library asks for no more of a body while its receiver does not read, so the body's deadline was never looked at and the gate's slot stayed taken. Bodies over 32 KiB or of unknown length now have a watcher that drops them.

--- a/crates/call/src/bounds.rs
+++ b/crates/call/src/bounds.rs
@@ -1,14 +1,15 @@
 //! Bounds on bodies that stream through: size and time.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 use model::Size;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::body::{Body, BoxError};
@@ -24,23 +25,55 @@
     TooLarge(Size),
 }
 
+/// Largest body that its receiver surely takes without reading, in bytes.
+const SMALL_BODY: u64 = 32 << 10;
+
+/// A body that its deadline takes away, also from a receiver that does not ask for more of it.
+#[derive(Clone)]
+struct Shared(Arc<Mutex<Option<Body>>>);
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Option<Body>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// A body that fails once its deadline passes.
 struct Timed {
-    body: Body,
+    body: Shared,
     deadline: Instant,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Takes the body away at the deadline.
+    watcher: Option<JoinHandle<()>>,
+}
+
+impl Drop for Timed {
+    fn drop(&mut self) {
+        if let Some(watcher) = &self.watcher {
+            watcher.abort();
+        }
+    }
 }
 
-/// Returns `body`, which fails at `deadline` unless it has ended.
+/// Returns `body`, which is dropped and fails at `deadline` unless it has ended.
 pub(crate) fn timed(body: Body, deadline: Instant) -> Body {
     if body.is_end_stream() {
         return body;
     }
-    let timer = None;
+    let exact = body.size_hint().exact();
+    let is_small = exact.is_some_and(|size| size <= SMALL_BODY);
+    let body = Shared(Arc::new(Mutex::new(Some(body))));
+    let watched = body.clone();
+    let watch = async move {
+        sleep_until(deadline).await;
+        let late = watched.lock().take();
+        drop(late);
+    };
     Timed {
         body,
         deadline,
-        timer,
+        timer: None,
+        watcher: (!is_small).then(|| tokio::spawn(watch)),
     }
     .boxed_unsync()
 }
@@ -53,25 +86,34 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
-            return Poll::Ready(frame);
+        let late = Poll::Ready(Some(Err(BodyError::Deadline.into())));
+        let polled = match self.body.lock().as_mut() {
+            Some(body) => Pin::new(body).poll_frame(cx),
+            None => return late,
+        };
+        if polled.is_ready() {
+            return polled;
         }
         let deadline = self.deadline;
         let timer = self
             .timer
             .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
         match timer.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Some(Err(BodyError::Deadline.into()))),
+            Poll::Ready(()) => late,
             Poll::Pending => Poll::Pending,
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        let body = self.body.lock();
+        body.as_ref().is_some_and(|body| body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let body = self.body.lock();
+        body.as_ref()
+            .map(|body| body.size_hint())
+            .unwrap_or_default()
     }
 }
 
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -132,7 +132,7 @@
             _in_use: in_use,
             _running: running,
         };
-        Ok(response.map(|body| Holding::wrap(timed(boxed(body), deadline), held)))
+        Ok(response.map(|body| timed(Holding::wrap(boxed(body), held), deadline)))
     }
 
     fn check_key(&self, headers: &HeaderMap) -> Result<(), Refusal> {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -1,7 +1,7 @@
 //! The call path: the ingress takes the calls of local callers and picks an upstream, the gate
 //! beside that upstream admits them and calls it.
 //!
-//! Lock order: no two locks of this crate are held at once.
+//! Lock order: the lock of a body, then at most one other of this crate.
 
 mod admission;
 mod backend;
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -185,7 +185,7 @@
             Ok(mut response) => {
                 response.headers_mut().remove(LOAD);
                 let deadline = call.deadline;
-                let wrap = |body| Holding::wrap(timed(boxed(body), deadline), in_flight);
+                let wrap = |body| timed(Holding::wrap(boxed(body), in_flight), deadline);
                 Tried::Answered(response.map(wrap))
             }
             Err(refusal) => Tried::Refused(refusal),
--- a/crates/call/tests/outcomes.rs
+++ b/crates/call/tests/outcomes.rs
@@ -365,3 +365,28 @@
     assert_eq!(answer.outcome(), None);
     assert_eq!(runs.load(Ordering::SeqCst), 3);
 }
+
+#[tokio::test]
+async fn caller_that_does_not_read_gives_its_slot_back_at_the_deadline() {
+    let large = Bytes::from(vec![b'x'; 32 << 20]);
+    let upstream = Router::new()
+        .route("/large", get(async move || large))
+        .route("/small", get(async || "whole"));
+    let node = Node::start("a-1", "proofdesk", 1, serve(upstream).await).await;
+    let rules = Rules {
+        timeout: Millis::new(300),
+        ..Rules::default()
+    };
+    node.install(&[("/", "proofdesk", rules)]);
+    let ingress = node.ingress.address();
+    let mut idle = tokio::net::TcpStream::connect(ingress).await.expect("open");
+    let head = format!("GET /large HTTP/1.1\r\nhost: {}\r\n\r\n", support::HOST);
+    idle.write_all(head.as_bytes()).await.expect("open");
+    let mut begun = [0; 12];
+    idle.read_exact(&mut begun).await.expect("an answer begins");
+    let busy = call(ingress, "GET", "/small", "").await;
+    assert_eq!(busy.outcome(), Some("not-run"));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(call(ingress, "GET", "/small", "").await.status, 200);
+    drop(idle);
+}
