--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -74,6 +74,7 @@
             slots,
             connections: 110,
             state: Readiness::Ready,
+            start: Default::default(),
         };
         backend.announce(announcement.clone());
         let key = Secret::new("fleet");
@@ -110,6 +111,7 @@
             parent: Digest::ZERO,
             base: None,
             accept_id: "a".parse().expect("a valid id"),
+            request: Digest::ZERO,
             operator: "test".parse().expect("a valid name"),
             teams: Vec::new(),
             reason: String::new(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,16 +8,18 @@
 use call::{Announcement, Backend, Gate, Ingress, Metrics, Readiness, Server};
 use ledger::Ledger;
 use member::{Members, Record, UpstreamState};
-use model::{Incarnation, UnixMillis};
+use model::{Incarnation, UnixMillis, Version};
 use prometheus::Registry;
 use slog::{Logger, info, o};
 use spread::{Local, Node};
 use store::{GrpcStore, Store};
 use table::Table;
 use tokio::net::TcpListener;
+use tokio::sync::watch::Receiver;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::counted::CountedStore;
 use crate::{Settings, SpawnError};
 
 /// Time between announcing the stop and refusing calls, so that others hear of it first.
@@ -140,6 +142,7 @@
         let addresses = listeners.addresses()?;
         let registry = Registry::new();
         let metrics = Metrics::open(&registry)?;
+        let store: Arc<dyn Store> = Arc::new(CountedStore::open(store, &registry)?);
         let members = Arc::new(Members::open(own_record(&settings, &addresses)));
         let table = Arc::new(Table::open(members));
         let ledger = Arc::new(Ledger::open(Arc::clone(&store)));
@@ -155,6 +158,7 @@
             }),
             log.clone(),
         )?);
+        node.register(&registry)?;
         let key = settings.fleet.key.clone();
         let gate = Gate::open(Arc::clone(&backend), key.clone(), metrics.clone());
         let ingress = Ingress::open(
@@ -171,10 +175,12 @@
             table: Arc::clone(&table),
             node: Arc::clone(&node),
             operators: Arc::new(Operators(operators)),
+            metrics: admin::Metrics::open(&registry)?,
             registry,
             log: log.clone(),
         };
         let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
+        tokio::spawn(log_versions(table.subscribe(), log.clone()));
         info!(log, "daemon started";
             "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
             "admin" => %addresses.admin, "announce" => %addresses.announce);
@@ -214,11 +220,13 @@
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         sleep(LEAVE_PAUSE).await;
-        self.announce.stop();
+        self.announce.stop(self.stop_limit).await;
         let mut cut = self.ingress.stop(self.stop_limit).await;
         cut += self.gate.stop(self.stop_limit).await;
-        self.node.stop().await;
-        self.admin.stop();
+        // An accept in flight is answered before the distribution ends.
+        self.admin.stop(self.stop_limit).await;
+        // A peer that stands still would keep its link, and with it the stop, open for ever.
+        let _ = timeout(self.stop_limit, self.node.stop()).await;
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
     }
@@ -233,6 +241,14 @@
     }
 }
 
+/// Logs each version that is put in force, until the table is gone.
+async fn log_versions(mut versions: Receiver<Version>, log: Logger) {
+    while versions.changed().await.is_ok() {
+        let version = *versions.borrow_and_update();
+        info!(log, "version in force"; "version" => version.get());
+    }
+}
+
 /// Describes the upstream in this daemon's record.
 fn describe(record: &mut Record, announced: Option<&Announcement>) {
     let Some(announced) = announced else {
@@ -255,8 +271,8 @@
         counter: 0,
         state: UpstreamState::Absent,
         service: None,
-        gate: addresses.gate,
-        fleet: addresses.fleet,
+        gate: settings.listen.advertise_gate.unwrap_or(addresses.gate),
+        fleet: settings.listen.advertise_fleet.unwrap_or(addresses.fleet),
         domain: settings.vm.failure_domain.clone(),
         region: settings.vm.region.clone(),
         slots: 0,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,10 +1,12 @@
 //! Types shared by every crate: names, units, the configuration format and its versions.
 
 mod change;
+mod collect;
 mod config;
 mod digest;
 mod name;
 mod parse;
+mod place;
 mod problem;
 mod secret;
 mod state;
@@ -22,8 +24,9 @@
     TeamName, VmId,
 };
 pub use parse::parse;
+pub use place::Places;
 pub use problem::{Problem, Problems};
 pub use secret::Secret;
 pub use state::{Piece, State, StateError};
 pub use unit::{Incarnation, Millis, Size, UnitError, UnixMillis, Version, Weight};
-pub use validate::validate;
+pub use validate::{validate, validate_changed};
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,24 +4,42 @@
 mod command;
 #[cfg(feature = "demo")]
 mod demo;
+mod describe;
 mod error;
+mod interrupt;
 mod logging;
 mod output;
 
 use std::process::ExitCode;
 
 use clap::Parser;
+use tokio::runtime::Builder;
 
 use crate::cli::Cli;
 
-// More threads cost more wake-ups a call than they save: a daemon runs few calls at once.
-#[tokio::main(worker_threads = 2)]
-async fn main() -> ExitCode {
-    match command::run(Cli::parse()).await {
+/// Threads that a process works with: a daemon is a small neighbour of its upstream.
+const WORKER_THREADS: usize = 2;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let json = cli.json;
+    match run(cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("sardinestall: {error}");
+            if json {
+                eprintln!("{}", error.to_json());
+            } else {
+                eprintln!("sardinestall: {error}");
+            }
             error.exit_code()
         }
     }
 }
+
+fn run(cli: Cli) -> Result<(), error::Error> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()?;
+    runtime.block_on(command::run(cli))
+}
