Tell callers to close kept connections before a planned stop closes them

A call sent on an idle connection at the moment of its closing was cut without an answer. The server now answers for half a second with `connection: close` first. Tests: the crossing call (the connection was closed at once before), the bound on set-aside upstreams, and when a try may follow another.

--- a/crates/call/src/health.rs
+++ b/crates/call/src/health.rs
@@ -40,6 +40,12 @@
 /// Time that a reported load is believed.
 const LOAD_FRESH: Duration = Duration::from_millis(500);
 
+/// Returns whether one more upstream of a pool of `size` may be set aside beside `aside` others: at
+/// most half of a pool is, and never its last upstream.
+pub fn may_set_aside(aside: usize, size: usize) -> bool {
+    (aside + 1) * 2 <= size
+}
+
 /// What became of a call, as far as the upstream is concerned.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Seen {
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::Poll;
 
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -15,7 +16,7 @@
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Duration, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Holding};
@@ -32,6 +33,10 @@
 /// Largest list of headers over HTTP/2, in bytes.
 const MAX_HEADER_LIST_BYTES: u32 = 64 << 10;
 
+/// Time in which callers are told to close kept connections before the server closes them: a call
+/// that crosses the closing of its connection would be cut.
+const CLOSE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Pause after a failed accept of a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -68,6 +73,7 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
+    closing: CancellationToken,
     stop: CancellationToken,
     cut: CancellationToken,
     calls: Calls,
@@ -89,6 +95,7 @@
         let stop = CancellationToken::new();
         let connections = Connections {
             graceful: GracefulShutdown::new(),
+            closing: CancellationToken::new(),
             cut: CancellationToken::new(),
             calls: Calls::default(),
             answer,
@@ -96,6 +103,7 @@
         };
         Ok(Self {
             address,
+            closing: connections.closing.clone(),
             stop: stop.clone(),
             cut: connections.cut.clone(),
             calls: connections.calls.clone(),
@@ -108,11 +116,14 @@
         self.address
     }
 
-    /// Takes no new connection, lets calls in flight finish for at most `limit`, and returns the
+    /// Lets callers close their kept connections, takes no new one, lets calls in flight finish for at most `limit`, and returns the
     /// number of calls that were cut.
     pub async fn stop(self, limit: Duration) -> usize {
+        let end = Instant::now() + limit;
+        self.closing.cancel();
+        sleep(CLOSE_PAUSE.min(limit / 2)).await;
         self.stop.cancel();
-        if timeout(limit, self.task).await.is_ok() {
+        if timeout_at(end, self.task).await.is_ok() {
             return 0;
         }
         let cut = self.calls.count();
@@ -124,6 +135,7 @@
 /// What every connection of a server shares.
 struct Connections<F> {
     graceful: GracefulShutdown,
+    closing: CancellationToken,
     cut: CancellationToken,
     calls: Calls,
     answer: F,
@@ -144,7 +156,7 @@
             Ok((stream, _)) => connections.serve(stream),
             Err(error) => {
                 warn!(connections.log, "connection not accepted"; "error" => %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -175,11 +187,18 @@
         let _ = stream.set_nodelay(true);
         let answer = self.answer.clone();
         let calls = self.calls.clone();
-        let service = service_fn(move |request| {
+        let closing = self.closing.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
             let call = calls.enter();
+            let closing = closing.clone();
+            let is_http1 = request.version() < Version::HTTP_2;
             let answered = answer(request);
             async move {
-                let response = answered.await;
+                let mut response = answered.await;
+                if is_http1 && closing.is_cancelled() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
                 let counted = response.map(|body| Holding::wrap(body, call));
                 Ok::<_, std::convert::Infallible>(counted)
             }
--- a/crates/call/src/watch.rs
+++ b/crates/call/src/watch.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::choose::{Candidate, Nearness};
-use crate::health::{Health, Seen, Standing};
+use crate::health::{Health, Seen, Standing, may_set_aside};
 
 /// Upstreams observed at most; the one called longest ago is forgotten first.
 const MAX_UPSTREAMS: usize = 32_768;
@@ -95,7 +95,7 @@
         }
         let peers = || pool.iter().filter_map(|peer| healths.get(&peer.gate));
         let aside = peers().filter(|peer| peer.is_aside()).count();
-        if (aside + 1) * 2 > pool.len() {
+        if !may_set_aside(aside, pool.len()) {
             return;
         }
         let median = median(peers().filter_map(Health::latency).collect());
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -4,11 +4,14 @@
 
 use call::budget::Budget;
 use call::choose::{self, Candidate, Nearness};
-use call::health::{Health, Seen, Standing};
+use call::health::{Health, Seen, Standing, may_set_aside};
 use call::keys::{Entry as KeyEntry, Fate, KEY_WINDOW, KeyTable, MAX_KEYS};
 use call::limit::{Limit, Reply, Sample};
 use call::queue::{Entry, Queue, Shed};
-use model::Priority;
+use call::retry::{is_idempotent, may_retry};
+use call::{Outcome, RefusalKind};
+use http::Method;
+use model::{Priority, Rules};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -328,3 +331,35 @@
     assert!(!health.is_suspect(Some(0.05)));
     assert!(health.is_suspect(Some(0.01)));
 }
+
+#[test]
+fn at_most_half_of_a_pool_is_set_aside_and_never_its_last() {
+    let most = |size| (0..=size).take_while(|n| may_set_aside(*n, size)).count();
+    let sizes = [0, 1, 2, 3, 6, 7].map(most);
+    assert_eq!(sizes, [0, 0, 1, 1, 3, 3]);
+}
+
+#[test]
+fn only_what_was_not_run_is_repeated_where_it_may_run_once() {
+    let rules = Rules::default();
+    let retry = |outcome, kind, idempotent| may_retry(outcome, Some(kind), idempotent, 1, &rules);
+    assert!(retry(Outcome::NotRun, RefusalKind::Leaving, false));
+    assert!(!retry(Outcome::Unknown, RefusalKind::Broken, false));
+    assert!(retry(Outcome::Unknown, RefusalKind::Broken, true));
+    assert!(!retry(Outcome::Ran, RefusalKind::Duplicate, true));
+    assert!(!retry(Outcome::NotRun, RefusalKind::TooLarge, true));
+    let last = rules.retries + 1;
+    let kind = Some(RefusalKind::Leaving);
+    assert!(!may_retry(Outcome::NotRun, kind, true, last, &rules));
+}
+
+#[test]
+fn route_decides_what_may_run_twice_and_else_the_method() {
+    let mut rules = Rules::default();
+    assert!(is_idempotent(&rules, &Method::GET));
+    assert!(!is_idempotent(&rules, &Method::PUT));
+    rules.idempotent = Some(false);
+    assert!(!is_idempotent(&rules, &Method::GET));
+    rules.idempotent = Some(true);
+    assert!(is_idempotent(&rules, &Method::POST));
+}
--- a/crates/call/tests/stop.rs
+++ b/crates/call/tests/stop.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioExecutor;
 use model::Rules;
 use support::{LIMIT, Node, call, request, serve, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Semaphore;
 
 type Shared = (Arc<AtomicUsize>, Arc<Semaphore>);
@@ -107,3 +108,25 @@
     assert!(statuses.contains(&200));
     assert!(most.load(Ordering::SeqCst) <= 4);
 }
+
+#[tokio::test]
+async fn call_on_a_kept_connection_that_crosses_the_stop_is_answered() {
+    let upstream = Router::new().fallback(async || "whole");
+    let node = Node::start("a-1", "proofdesk", 12, serve(upstream).await).await;
+    node.install(&[("/", "proofdesk", Rules::default())]);
+    let address = node.ingress.address();
+    let mut kept = tokio::net::TcpStream::connect(address).await.expect("open");
+    let request = format!("GET / HTTP/1.1\r\nhost: {}\r\n\r\n", support::HOST);
+    kept.write_all(request.as_bytes()).await.expect("open");
+    let mut first = [0; 2_048];
+    let read = kept.read(&mut first).await.expect("an answer");
+    assert!(first[..read].starts_with(b"HTTP/1.1 200"));
+    let stopping = tokio::spawn(node.ingress.stop(LIMIT));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    kept.write_all(request.as_bytes()).await.expect("open");
+    let mut last = String::new();
+    kept.read_to_string(&mut last).await.expect("an answer");
+    assert!(last.starts_with("HTTP/1.1 200"), "{last}");
+    assert!(last.contains("connection: close"), "{last}");
+    assert_eq!(stopping.await.expect("no panic"), 0);
+}
