--- a/crates/bench/src/spread/accepts.rs
+++ b/crates/bench/src/spread/accepts.rs
@@ -82,7 +82,7 @@
 
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
-    let fleet = Fleet::open(&[]).await?;
+    let fleet = Fleet::open(&["bench"]).await?;
     let ledgers: Vec<Arc<Ledger>> = (0..args.daemons.max(1))
         .map(|_| Arc::new(Ledger::open(Arc::new(GrpcStore::open(fleet.kv.address)))))
         .collect();
--- /dev/null
+++ b/crates/bench/src/spread/fullsize_parent.rs
@@ -0,0 +1,231 @@
+//! A parent for one daemon: a relay in this process that holds the full-size state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use harness::Error;
+use ledger::{Ledger, Request};
+use member::{LinkId, Members, Record, UpstreamState};
+use model::{Incarnation, Millis, Secret, UnixMillis, Version};
+use slog::{Discard, Logger, o};
+use spread::{Local, Node, Settings};
+use store::GrpcStore;
+use table::Table;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::design::{SERVICES, config};
+
+/// Teams that share the services.
+const TEAMS: usize = 64;
+
+/// Failure domains at the design size.
+const DOMAINS: usize = 14;
+
+/// Regions at the design size.
+const REGIONS: usize = 4;
+
+/// Number of the parent's VM, beyond those of the upstreams.
+const PARENT: usize = 99_999;
+
+/// Failure domain of the parent and the daemon.
+pub(crate) const DOMAIN: &str = "domain-0";
+
+/// Largest piece of a connection that is passed on at once, in bytes.
+const CHUNK_BYTES: usize = 64 << 10;
+
+/// Bytes that passed between the daemon and its parent.
+#[derive(Debug, Default)]
+pub(crate) struct Bytes {
+    /// From the parent to the daemon.
+    pub(crate) received: AtomicU64,
+    /// From the daemon to the parent.
+    pub(crate) sent: AtomicU64,
+}
+
+/// The parent has no upstream.
+#[derive(Debug)]
+struct NoUpstream;
+
+impl Local for NoUpstream {
+    fn drain(&self) -> bool {
+        false
+    }
+}
+
+/// A relay in this process.
+pub(crate) struct Parent {
+    /// What it serves.
+    pub(crate) table: Arc<Table>,
+    /// Accepted versions.
+    pub(crate) ledger: Arc<Ledger>,
+    /// Bytes on the links to it.
+    pub(crate) bytes: Arc<Bytes>,
+    fleet: SocketAddr,
+    incarnation: u64,
+    _node: Node,
+}
+
+impl Parent {
+    /// Starts the parent on the store at `address`.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, Error> {
+        let store = Arc::new(GrpcStore::open(address));
+        let ledger = Arc::new(Ledger::open(store.clone()));
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let bytes = Arc::new(Bytes::default());
+        let fleet = count(listener.local_addr()?, Arc::clone(&bytes)).await?;
+        let incarnation = UnixMillis::now().get();
+        let own = record(PARENT, 0, fleet, incarnation, UpstreamState::Absent);
+        let table = Arc::new(Table::open(Arc::new(Members::open(own))));
+        let node = Node::spawn(
+            settings(),
+            listener,
+            Arc::clone(&table),
+            Arc::clone(&ledger),
+            store,
+            Arc::new(NoUpstream),
+            Logger::root(Discard, o!()),
+        );
+        let node = node.map_err(|error| Error::Call(error.to_string()))?;
+        Ok(Self {
+            table,
+            ledger,
+            bytes,
+            fleet,
+            incarnation,
+            _node: node,
+        })
+    }
+
+    /// Accepts the whole configuration of the design size; returns its version.
+    pub(crate) async fn accept_all(&self) -> Result<Version, Error> {
+        let mut last = Version::default();
+        for team in 0..TEAMS {
+            last = self.accept(team, 0, &format!("first-{team}")).await?;
+        }
+        Ok(last)
+    }
+
+    /// Accepts a change of one service; returns its version.
+    pub(crate) async fn accept(
+        &self,
+        team: usize,
+        change: u64,
+        id: &str,
+    ) -> Result<Version, Error> {
+        let request = Request {
+            config: config(team % TEAMS, TEAMS, change),
+            accept_id: id.parse().expect("a valid id"),
+            operator: "bench".parse().expect("a valid name"),
+            reason: "benchmark".into(),
+        };
+        let accepted = self.ledger.accept(&request).await;
+        accepted
+            .map(|accepted| accepted.version)
+            .map_err(|error| Error::Call(error.to_string()))
+    }
+
+    /// Writes the records of `upstreams` upstreams, all ready.
+    pub(crate) fn fill(&self, upstreams: usize) {
+        let records = (0..upstreams)
+            .map(|i| record(i, 1, self.fleet, self.incarnation, UpstreamState::Ready));
+        self.table.merge(records.collect(), LinkId(u64::MAX));
+    }
+
+    /// Writes the record of upstream `i` anew, ready or draining by `counter`.
+    pub(crate) fn touch(&self, i: usize, counter: u64) {
+        let state = match counter.is_multiple_of(2) {
+            true => UpstreamState::Draining,
+            false => UpstreamState::Ready,
+        };
+        let record = record(i, counter, self.fleet, self.incarnation, state);
+        self.table.merge(vec![record], LinkId(u64::MAX));
+    }
+}
+
+/// Returns the record of upstream `i`. Its fleet address is the parent's, which answers for all.
+///
+/// # Panics
+///
+/// Never: the names are valid.
+pub(crate) fn record(
+    i: usize,
+    counter: u64,
+    fleet: SocketAddr,
+    incarnation: u64,
+    state: UpstreamState,
+) -> Record {
+    let domain = i % DOMAINS;
+    Record {
+        vm: format!("vm-{i:05}").parse().expect("a valid id"),
+        incarnation: Incarnation::new(incarnation),
+        counter,
+        state,
+        service: Some(
+            format!("service-{}", i % SERVICES)
+                .parse()
+                .expect("a valid name"),
+        ),
+        gate: SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 7401)),
+        fleet,
+        domain: format!("domain-{domain}").parse().expect("a valid name"),
+        region: format!("region-{}", domain % REGIONS)
+            .parse()
+            .expect("a valid name"),
+        slots: 12,
+        expired: false,
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        vm: format!("vm-{PARENT:05}").parse().expect("a valid id"),
+        domain: DOMAIN.parse().expect("a valid name"),
+        seeds: Vec::new(),
+        key: Secret::new("harness-fleet"),
+        fanout: 8,
+        relays: 1,
+        lease: Millis::new(6_000),
+        beacon: Millis::new(1_000),
+        silence: Millis::new(4_000),
+        grace: Millis::new(2_000),
+        compare: Millis::new(10_000),
+    }
+}
+
+/// Passes connections on to `parent` and counts their bytes; returns the address to connect to.
+async fn count(parent: SocketAddr, bytes: Arc<Bytes>) -> Result<SocketAddr, Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((daemon, _)) = listener.accept().await {
+            let Ok(parent) = TcpStream::connect(parent).await else {
+                continue;
+            };
+            let _ = (daemon.set_nodelay(true), parent.set_nodelay(true));
+            let (daemon_read, daemon_write) = daemon.into_split();
+            let (parent_read, parent_write) = parent.into_split();
+            let (up, down) = (Arc::clone(&bytes), Arc::clone(&bytes));
+            tokio::spawn(pass(daemon_read, parent_write, move |n| {
+                up.sent.fetch_add(n, Ordering::Relaxed);
+            }));
+            tokio::spawn(pass(parent_read, daemon_write, move |n| {
+                down.received.fetch_add(n, Ordering::Relaxed);
+            }));
+        }
+    });
+    Ok(address)
+}
+
+/// Passes bytes on until either end closes.
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, count: impl Fn(u64)) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(read) = from.read(&mut chunk).await {
+        if read == 0 || to.write_all(&chunk[..read]).await.is_err() {
+            return;
+        }
+        count(read as u64);
+    }
+}
