--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch::Receiver;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::counted::CountedStore;
 use crate::{Settings, SpawnError};
@@ -158,6 +158,7 @@
             }),
             log.clone(),
         )?);
+        node.register(&registry)?;
         let key = settings.fleet.key.clone();
         let gate = Gate::open(Arc::clone(&backend), key.clone(), metrics.clone());
         let ingress = Ingress::open(
@@ -224,7 +225,8 @@
         cut += self.gate.stop(self.stop_limit).await;
         // An accept in flight is answered before the distribution ends.
         self.admin.stop(self.stop_limit).await;
-        self.node.stop().await;
+        // A peer that stands still would keep its link, and with it the stop, open for ever.
+        let _ = timeout(self.stop_limit, self.node.stop()).await;
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,14 +13,17 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use tokio::runtime::Builder;
 
 use crate::cli::Cli;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+/// Threads that a process works with: a daemon is a small neighbour of its upstream.
+const WORKER_THREADS: usize = 2;
+
+fn main() -> ExitCode {
     let cli = Cli::parse();
     let json = cli.json;
-    match command::run(cli).await {
+    match run(cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             if json {
@@ -32,3 +35,11 @@
         }
     }
 }
+
+fn run(cli: Cli) -> Result<(), error::Error> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()?;
+    runtime.block_on(command::run(cli))
+}
