Share the text of names, and give freed memory back

Names now share their text, those that recur through a bounded table of texts, and the binary takes jemalloc.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 mod collect;
 mod config;
 mod digest;
+mod intern;
 mod name;
 mod parse;
 mod place;
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use schemars::JsonSchema;
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
+use crate::intern::intern;
+
 /// Longest accepted name, in bytes.
 const MAX_NAME_BYTES: usize = 63;
 
@@ -24,14 +27,14 @@
 }
 
 macro_rules! name {
-    ($(#[$doc:meta])* $type:ident, $what:literal) => {
+    ($(#[$doc:meta])* $type:ident, $what:literal, $share:expr) => {
         $(#[$doc])*
         #[derive(
             Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, JsonSchema,
             SerializeDisplay, DeserializeFromStr,
         )]
         #[schemars(transparent)]
-        pub struct $type(#[schemars(with = "String", regex(pattern = "^[a-z0-9._-]{1,63}$"))] String);
+        pub struct $type(#[schemars(with = "String", regex(pattern = "^[a-z0-9._-]{1,63}$"))] Arc<str>);
 
         impl $type {
             /// Returns the name as text.
@@ -53,7 +56,7 @@
                 if !is_name(text) {
                     return Err(NameError { text: text.into(), what: $what });
                 }
-                Ok(Self(text.into()))
+                Ok(Self($share(text)))
             }
         }
     };
@@ -62,45 +65,54 @@
 name!(
     /// Name of a service, the unit that upstreams announce themselves for.
     ServiceName,
-    "service name"
+    "service name",
+    intern
 );
 name!(
     /// Name of a pool, a selection of the upstreams of one service.
     PoolName,
-    "pool name"
+    "pool name",
+    intern
 );
 name!(
     /// Name of a route.
     RouteName,
-    "route name"
+    "route name",
+    Arc::from
 );
 name!(
     /// Name of a team, the owner of parts of the configuration.
     TeamName,
-    "team name"
+    "team name",
+    intern
 );
 name!(
     /// Name of an operator.
     OperatorName,
-    "operator name"
+    "operator name",
+    intern
 );
 name!(
     /// Name of a failure domain.
     DomainName,
-    "failure domain"
+    "failure domain",
+    intern
 );
 name!(
     /// Name of a region.
     RegionName,
-    "region name"
+    "region name",
+    intern
 );
 name!(
     /// Name of a VM; one daemon runs on each.
     VmId,
-    "VM id"
+    "VM id",
+    Arc::from
 );
 name!(
     /// Caller-chosen id of one accept, by which a lost answer is settled.
     AcceptId,
-    "accept id"
+    "accept id",
+    Arc::from
 );
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,10 @@
 
 use crate::cli::Cli;
 
+/// Allocator that gives back what a burst of changes or a cold start took.
+#[global_allocator]
+static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 /// Threads that a process works with: a daemon is a small neighbour of its upstream.
 const WORKER_THREADS: usize = 2;
 
