--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -5,6 +5,9 @@
 mod churn;
 mod converge;
 mod design;
+mod fullsize;
+mod fullsize_parent;
+mod fullsize_usage;
 mod herd;
 mod outage;
 mod probe;
@@ -19,6 +22,8 @@
 pub(crate) enum Command {
     /// Accepts a second that one head carries.
     Accepts(accepts::Args),
+    /// Memory, processor time and bytes of one daemon that holds the full-size state.
+    Fullsize(fullsize::Args),
     /// Time from an accept until every daemon serves it.
     Converge(converge::Args),
     /// Upstreams that start, drain and stop.
@@ -35,6 +40,7 @@
 pub(crate) async fn run(command: Command) -> Result<(), Error> {
     match command {
         Command::Accepts(args) => accepts::run(args).await,
+        Command::Fullsize(args) => fullsize::run(args).await,
         Command::Converge(args) => converge::run(args).await,
         Command::Churn(args) => churn::run(args).await,
         Command::Herd(args) => herd::run(args).await,
