--- a/crates/bench/src/spread/fullsize.rs
+++ b/crates/bench/src/spread/fullsize.rs
@@ -89,6 +89,10 @@
 struct Single {
     bench: &'static str,
     upstreams: usize,
+    /// Length of one change's canonical bytes.
+    change_bytes: usize,
+    /// Length of all items, as a checkpoint holds them.
+    state_bytes: usize,
     install_us: u64,
     change_us: Micros,
     record_us: Micros,
@@ -199,6 +203,9 @@
     });
     installed.map_err(|error| fail(&error))?;
     let install_us = started.elapsed().as_micros() as u64;
+    let pieces = tip.state.pieces();
+    let state_bytes = pieces.map(|(_, piece)| piece.to_json().len()).sum();
+    let mut change_bytes = 0;
     let mut change_us = report::histogram();
     let mut record_us = report::histogram();
     for i in 0..SINGLE {
@@ -208,6 +215,7 @@
         let tip = parent.ledger.tip().await.map_err(|error| fail(&error))?;
         let change = tip.change.as_ref().ok_or_else(|| fail(&"no version"))?;
         let bytes = change.to_bytes();
+        change_bytes = bytes.len();
         let started = Instant::now();
         table.apply(&[bytes]).map_err(|error| fail(&error))?;
         change_us.saturating_record(started.elapsed().as_micros() as u64);
@@ -221,6 +229,8 @@
     Ok(Single {
         bench: "fullsize_single",
         upstreams: args.upstreams,
+        change_bytes,
+        state_bytes,
         install_us,
         change_us: Micros::from(&change_us),
         record_us: Micros::from(&record_us),
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -42,7 +42,8 @@
 /// is refused when there is none.
 #[derive(Debug, Default)]
 struct Inner {
-    slots: BTreeMap<VmId, Slot>,
+    /// Boxed, as the map's nodes are little more than half full.
+    slots: BTreeMap<VmId, Box<Slot>>,
     /// VMs by the sequence of their newest record.
     order: BTreeMap<Sequence, VmId>,
     /// VMs by the service of their record.
@@ -304,7 +305,7 @@
             drop_at: None,
             record,
         };
-        self.slots.insert(slot.record.vm.clone(), slot);
+        self.slots.insert(slot.record.vm.clone(), Box::new(slot));
     }
 
     fn remove(&mut self, vm: &VmId) {
