--- a/crates/bench/src/spread/fullsize_parent.rs
+++ b/crates/bench/src/spread/fullsize_parent.rs
@@ -176,6 +176,7 @@
             .expect("a valid name"),
         slots: 12,
         expired: false,
+        ended: None,
     }
 }
 
