--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -8,6 +8,7 @@
 use model::Version;
 use serde::Deserialize;
 use standin::{Behaviour, Faults};
+use tokio::time::timeout;
 
 use crate::client::Agent;
 use crate::config::service_of;
@@ -18,6 +19,9 @@
 /// Longest wait for a condition that must come about; reached only when something hangs.
 pub const HANG_LIMIT: Duration = Duration::from_secs(60);
 
+/// Longest wait of an operator who drains an upstream.
+const DRAIN_LIMIT: Duration = Duration::from_secs(5);
+
 /// Most versions read of a chain.
 const MAX_CHAIN: usize = 1_000;
 
@@ -301,7 +305,8 @@
     pub async fn drain(&self, vm: &str, at: &str) -> Result<(), Error> {
         let client = self.fleet.daemons[self.find(at)?].client();
         let id = vm.parse().map_err(|_| Error::Unknown(vm.into()))?;
-        client.drain(&id).await?;
+        let drained = timeout(DRAIN_LIMIT, client.drain(&id)).await;
+        drained.map_err(|_| Error::Unknown(format!("the end of the drain of {vm}")))??;
         let drain = Drain {
             vm: vm.into(),
             at: self.recorder.now(),
@@ -404,7 +409,7 @@
     pub async fn look_at_runs(&self) {
         for upstream in &self.fleet.upstreams {
             // An upstream that is frozen or gone is looked at again later.
-            let looked = tokio::time::timeout(Duration::from_secs(2), upstream.control.runs());
+            let looked = timeout(Duration::from_secs(2), upstream.control.runs());
             if let Ok(Ok(runs)) = looked.await {
                 let count = RunCount {
                     vm: upstream.vm.clone(),
