--- a/crates/call/src/limit.rs
+++ b/crates/call/src/limit.rs
@@ -7,14 +7,8 @@
 /// Share of the limit that is left after a refusal.
 const REFUSED_FACTOR: f64 = 0.7;
 
-/// Share of the limit that is left after a slow round.
-const SLOW_FACTOR: f64 = 0.9;
-
-/// Latency of a slow round, in multiples of the base latency.
-const SLOW_RATIO: f64 = 4.0;
-
-/// Share of the slots that slowness alone leaves at least: it may come from the calls themselves.
-const SLOW_FLOOR: f64 = 0.25;
+/// Time without an answer that counts as a refusal, in multiples of the mean latency.
+const LATE_RATIO: f64 = 4.0;
 
 /// Share of the limit that is added by a round without trouble.
 const GROWTH: f64 = 0.1;
@@ -25,19 +19,27 @@
 /// Weight of a new sample in the mean latency.
 const MEAN_WEIGHT: f64 = 0.1;
 
-/// Weight of a new mean in the base latency when the mean is above it.
-const BASE_WEIGHT: f64 = 0.002;
-
 /// Shortest time between two changes of the limit.
 const MIN_ROUND: Duration = Duration::from_millis(50);
 
-/// One answer of the upstream.
+/// How the upstream answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reply {
+    /// It ran the call.
+    Ran,
+    /// It refused the call for its load.
+    Refused,
+    /// It did not answer before the deadline.
+    Late,
+}
+
+/// One call of the upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Sample {
-    /// Time until the head of the answer.
+    /// Time until the head of the answer, or until the deadline.
     pub latency: Duration,
-    /// Whether the upstream refused the call for its load.
-    pub refused: bool,
+    /// How the upstream answered.
+    pub reply: Reply,
     /// Calls that ran at the same time, this one among them.
     pub running: u32,
 }
@@ -47,8 +49,8 @@
 pub struct Limit {
     slots: u32,
     limit: f64,
+    /// Mean latency, in seconds.
     mean: Option<f64>,
-    base: Option<f64>,
     changed: Option<Instant>,
 }
 
@@ -59,7 +61,6 @@
             slots,
             limit: f64::from(slots),
             mean: None,
-            base: None,
             changed: None,
         }
     }
@@ -87,27 +88,26 @@
         }
     }
 
-    /// Learns from an answer.
+    /// Learns from a call.
+    ///
+    /// Latency alone does not lower the limit: it differs by call and by what the upstream waits
+    /// for. A caller's own short deadline does not lower it either.
     pub fn observe(&mut self, sample: Sample, now: Instant) {
-        if sample.refused {
-            self.change(now, |limit| limit * REFUSED_FACTOR);
-            return;
-        }
         let latency = sample.latency.as_secs_f64();
-        let mean = *self.mean.insert(
-            self.mean
-                .map_or(latency, |mean| mean + (latency - mean) * MEAN_WEIGHT),
-        );
-        let base = self.base.map_or(mean, |base| match mean < base {
-            true => mean,
-            false => base + (mean - base) * BASE_WEIGHT,
-        });
-        self.base = Some(base);
-        let floor = f64::from(self.slots) * SLOW_FLOOR;
-        if mean > base * SLOW_RATIO && self.limit > floor {
-            self.change(now, |limit| (limit * SLOW_FACTOR).max(floor));
-        } else if f64::from(sample.running) >= self.limit * BUSY {
-            self.change(now, |limit| limit + (limit * GROWTH).max(0.2));
+        match sample.reply {
+            Reply::Refused => self.change(now, |limit| limit * REFUSED_FACTOR),
+            Reply::Late => {
+                if self.mean.is_some_and(|mean| latency > mean * LATE_RATIO) {
+                    self.change(now, |limit| limit * REFUSED_FACTOR);
+                }
+            }
+            Reply::Ran => {
+                let mean = self.mean.unwrap_or(latency);
+                self.mean = Some(mean + (latency - mean) * MEAN_WEIGHT);
+                if f64::from(sample.running) >= self.limit * BUSY {
+                    self.change(now, |limit| limit + (limit * GROWTH).max(0.2));
+                }
+            }
         }
     }
 
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -4,11 +4,14 @@
 
 use call::budget::Budget;
 use call::choose::{self, Candidate, Nearness};
-use call::health::{Health, Seen, Standing};
+use call::health::{Health, Seen, Standing, may_set_aside};
 use call::keys::{Entry as KeyEntry, Fate, KEY_WINDOW, KeyTable, MAX_KEYS};
-use call::limit::{Limit, Sample};
+use call::limit::{Limit, Reply, Sample};
 use call::queue::{Entry, Queue, Shed};
-use model::Priority;
+use call::retry::{is_idempotent, may_retry};
+use call::{Outcome, RefusalKind};
+use http::Method;
+use model::{Priority, Rules};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -28,7 +31,7 @@
     }
     let sample = Sample {
         latency,
-        refused: false,
+        reply: Reply::Ran,
         running: 1,
     };
     queue.observe(sample, now);
@@ -76,6 +79,18 @@
     assert_eq!((next.run, next.late), (vec![], vec![2]));
 }
 
+#[test]
+fn call_that_others_overtake_is_shed_before_its_deadline() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(50), now);
+    let entry = queue.enter(Priority::Low, now + 10 * SECOND, 1, now);
+    let Entry::Wait { until, .. } = entry else {
+        panic!("{entry:?}");
+    };
+    // Twice the time in which two calls of 50 ms are run.
+    assert_eq!(until, now + millis(200));
+}
+
 #[test]
 fn resized_queue_counts_the_calls_that_run() {
     let now = Instant::now();
@@ -89,24 +104,27 @@
     assert_eq!(queue.leave(now).run, [1]);
 }
 
+/// Returns a call of `latency` milliseconds beside others.
+fn sample(latency: u64, reply: Reply, running: u32) -> Sample {
+    Sample {
+        latency: millis(latency),
+        reply,
+        running,
+    }
+}
+
 #[test]
 fn limit_follows_refusals_down_to_one_and_grows_back() {
     let mut now = Instant::now();
     let mut limit = Limit::new(12);
-    let sample = |refused, running| Sample {
-        latency: millis(5),
-        refused,
-        running,
-    };
     for _ in 0..50 {
         now += millis(100);
-        limit.observe(sample(true, 12), now);
+        limit.observe(sample(5, Reply::Refused, 12), now);
     }
     assert_eq!(limit.get(), 1);
     for _ in 0..200 {
         now += millis(100);
-        let running = limit.get();
-        limit.observe(sample(false, running), now);
+        limit.observe(sample(5, Reply::Ran, limit.get()), now);
     }
     assert_eq!(limit.get(), 12);
 }
@@ -115,21 +133,60 @@
 fn limit_does_not_grow_while_it_is_not_used() {
     let mut now = Instant::now();
     let mut limit = Limit::new(12);
-    for (refused, running) in [(true, 12), (true, 12), (false, 1), (false, 1)] {
+    for reply in [Reply::Refused, Reply::Refused, Reply::Ran, Reply::Ran] {
         now += SECOND;
-        let latency = millis(5);
-        limit.observe(
-            Sample {
-                latency,
-                refused,
-                running,
-            },
-            now,
-        );
+        limit.observe(sample(5, reply, 1), now);
     }
     assert_eq!(limit.get(), 5);
 }
 
+#[test]
+fn limit_stays_near_a_capacity_below_the_claim() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    let mut refused = 0;
+    for i in 0..1_000 {
+        now += millis(10);
+        let running = limit.get();
+        let reply = match running > 4 {
+            true => Reply::Refused,
+            false => Reply::Ran,
+        };
+        refused += u32::from(i >= 500 && reply == Reply::Refused);
+        limit.observe(sample(10, reply, running), now);
+    }
+    assert!((3..=5).contains(&limit.get()), "{}", limit.get());
+    // Of 500 calls that would all be refused without a limit.
+    assert!(refused < 250, "{refused}");
+}
+
+#[test]
+fn late_answers_lower_the_limit_but_short_deadlines_do_not() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    limit.observe(sample(10, Reply::Ran, 1), now);
+    for _ in 0..10 {
+        now += SECOND;
+        limit.observe(sample(1, Reply::Late, 12), now);
+    }
+    assert_eq!(limit.get(), 12);
+    now += SECOND;
+    limit.observe(sample(1_000, Reply::Late, 12), now);
+    assert_eq!(limit.get(), 8);
+}
+
+#[test]
+fn limit_stays_where_latencies_differ() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(12);
+    for i in 0..1_000 {
+        now += millis(100);
+        let latency = if i % 3 == 0 { 200 } else { 5 };
+        limit.observe(sample(latency, Reply::Ran, 1 + i % 12), now);
+    }
+    assert_eq!(limit.get(), 12);
+}
+
 #[test]
 fn budget_allows_a_share_of_first_tries() {
     let mut budget = Budget::default();
@@ -274,3 +331,35 @@
     assert!(!health.is_suspect(Some(0.05)));
     assert!(health.is_suspect(Some(0.01)));
 }
+
+#[test]
+fn at_most_half_of_a_pool_is_set_aside_and_never_its_last() {
+    let most = |size| (0..=size).take_while(|n| may_set_aside(*n, size)).count();
+    let sizes = [0, 1, 2, 3, 6, 7].map(most);
+    assert_eq!(sizes, [0, 0, 1, 1, 3, 3]);
+}
+
+#[test]
+fn only_what_was_not_run_is_repeated_where_it_may_run_once() {
+    let rules = Rules::default();
+    let retry = |outcome, kind, idempotent| may_retry(outcome, Some(kind), idempotent, 1, &rules);
+    assert!(retry(Outcome::NotRun, RefusalKind::Leaving, false));
+    assert!(!retry(Outcome::Unknown, RefusalKind::Broken, false));
+    assert!(retry(Outcome::Unknown, RefusalKind::Broken, true));
+    assert!(!retry(Outcome::Ran, RefusalKind::Duplicate, true));
+    assert!(!retry(Outcome::NotRun, RefusalKind::TooLarge, true));
+    let last = rules.retries + 1;
+    let kind = Some(RefusalKind::Leaving);
+    assert!(!may_retry(Outcome::NotRun, kind, true, last, &rules));
+}
+
+#[test]
+fn route_decides_what_may_run_twice_and_else_the_method() {
+    let mut rules = Rules::default();
+    assert!(is_idempotent(&rules, &Method::GET));
+    assert!(!is_idempotent(&rules, &Method::PUT));
+    rules.idempotent = Some(false);
+    assert!(!is_idempotent(&rules, &Method::GET));
+    rules.idempotent = Some(true);
+    assert!(is_idempotent(&rules, &Method::POST));
+}
--- a/crates/spread/src/repair.rs
+++ b/crates/spread/src/repair.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use member::{BucketIndex, Buckets, Record};
-use model::Version;
+use model::{UnixMillis, Version};
 use rand::RngExt;
 use rand::seq::{IndexedRandom, SliceRandom};
 use slog::{debug, warn};
@@ -32,7 +32,7 @@
             () = sleep(Duration::from_millis(pause)) => {}
             () = hub.stop.cancelled() => return,
         }
-        hub.table.members().sweep(std::time::Instant::now());
+        hub.table.members().sweep(UnixMillis::now());
         let Some(address) = peer(&hub) else {
             continue;
         };
@@ -153,9 +153,10 @@
     if own <= mark.version || own == Version::default() {
         return;
     }
-    if let Some(update) = Update::changes_after(&hub.table, mark) {
-        reply.changes = update.changes;
-    } else if hub.transfers.available_permits() > 0 {
-        reply.state = hub.whole();
+    if hub.is_far_behind(mark) && hub.transfers.available_permits() == 0 {
+        return;
     }
+    let update = hub.update_after(mark);
+    reply.changes = update.changes;
+    reply.state = update.state;
 }
--- a/crates/spread/tests/nodes/repair.rs
+++ b/crates/spread/tests/nodes/repair.rs
@@ -6,7 +6,7 @@
 use standin::Kv;
 use tokio::time::sleep;
 
-use crate::support::{TestNode, accept, serving, set_down, wait};
+use crate::support::{TestNode, accept, accept_large, serving, set_down, wait};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn orphans_exchange_membership_while_store_and_relay_are_out() {
@@ -95,7 +95,7 @@
         nodes.iter().all(|node| node.live().len() == 2)
     })
     .await;
-    let crowd = crowd(2_000, &nodes[0]);
+    let crowd = crowd(2_000, &nodes);
     for node in &nodes {
         node.table.merge(crowd.clone(), LinkId(77));
     }
@@ -112,14 +112,15 @@
     assert!(rate < 10_000, "{rate} bytes a second");
 }
 
-/// Returns records of `count` daemons that resemble the one of `node`.
-fn crowd(count: usize, node: &TestNode) -> Vec<member::Record> {
-    let own = node.table.members().own();
+/// Returns records of `count` more daemons, all of which answer at the addresses of `nodes`.
+fn crowd(count: usize, nodes: &[TestNode]) -> Vec<member::Record> {
+    let own = nodes[0].table.members().own();
     let records = (0..count).map(|i| {
         let mut record = own.clone();
-        record.vm = format!("z-{i}").parse().expect("a valid id");
-        // Nobody answers at these addresses.
-        record.fleet = ([127, 0, 0, 1], 1).into();
+        record.vm = format!("z-{:08x}", (i as u32).wrapping_mul(2_654_435_761))
+            .parse()
+            .expect("a valid id");
+        record.fleet = nodes[i % nodes.len()].address;
         record
     });
     records.collect()
@@ -133,3 +134,40 @@
     let metric = family.and_then(|family| family.get_metric().first().cloned());
     metric.map_or(0, |metric| metric.get_counter().get_value() as u64)
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn joining_daemon_gets_a_large_version_compressed() {
+    let kv = Kv::open();
+    let relay = TestNode::spawn(&kv, "a-0", "a", &[]).await;
+    let size = accept_large(&kv).await;
+    wait("the relay serves", || relay.version() == 1).await;
+    let late = TestNode::spawn(&kv, "a-1", "a", &[]).await;
+    wait("the late daemon serves", || late.version() == 1).await;
+    let got = received(&late) as usize;
+    assert!(got * 4 < size, "{got} bytes for a change of {size}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemons_of_a_lost_failure_domain_expire_and_come_back_with_it() {
+    let kv = Kv::open();
+    let mut nodes = Vec::new();
+    for vm in ["a-0", "a-1", "a-2", "b-0", "b-1"] {
+        nodes.push(TestNode::spawn(&kv, vm, &vm[..1], &[]).await);
+    }
+    wait("everybody knows everybody", || {
+        nodes.iter().all(|node| node.live().len() == 5)
+    })
+    .await;
+    nodes.truncate(3);
+    wait("the lost daemons expire", || {
+        nodes
+            .iter()
+            .all(|node| node.live() == ["a-0", "a-1", "a-2"])
+    })
+    .await;
+    let back = TestNode::spawn(&kv, "b-0", "b", &[]).await;
+    wait("the daemon that came back is known", || {
+        nodes.iter().all(|node| node.live().len() == 4) && back.live().len() == 4
+    })
+    .await;
+}
