Do not report a call as not run after a try that may have run

A refusal after an unsure try is now told as unknown. Ruled out: a refusal at the ingress alone, which the call path handled already.

--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -61,7 +61,12 @@
         }
     }
 
-    fn into_answer(self) -> Result<Response<Body>, Refusal> {
+    /// Returns the caller's answer; `unsure` says whether an earlier try may have run.
+    fn into_answer(self, unsure: bool) -> Result<Response<Body>, Refusal> {
+        if unsure && self.outcome() == Some(Outcome::NotRun) {
+            let message = "the last try was refused, but an earlier one may have run";
+            return Err(Refusal::unknown(RefusalKind::Broken, message));
+        }
         match self {
             Self::Answered(response) => Ok(response),
             Self::Refused(refusal) => Err(refusal),
@@ -101,6 +106,7 @@
     ) -> Result<Response<Body>, Refusal> {
         let mut tried = Vec::new();
         let mut last: Option<Tried> = None;
+        let mut unsure = false;
         loop {
             let pool = call
                 .snapshot
@@ -108,7 +114,7 @@
             let (Some(upstream), Some(body)) = (self.choose(pool, &tried), payload.take()) else {
                 return last
                     .unwrap_or_else(|| Tried::Refused(no_upstream(pool)))
-                    .into_answer();
+                    .into_answer(unsure);
             };
             if last.is_none() {
                 self.budgets.earn(&pool.service);
@@ -119,10 +125,11 @@
                 return Err(overrun(call, ended.outcome()));
             }
             if !self.may_go_on(call, pool, &payload, &ended, tried.len() as u32) {
-                return ended.into_answer();
+                return ended.into_answer(unsure);
             }
             let service = pool.service.name.as_str();
             self.metrics.retries.with_label_values(&[service]).inc();
+            unsure |= ended.outcome() != Some(Outcome::NotRun);
             last = Some(ended);
         }
     }
--- a/crates/proof/tests/scenarios.rs
+++ b/crates/proof/tests/scenarios.rs
@@ -372,6 +372,7 @@
     notice_runs_at_most_once
     not_run_is_true
     racing_operators
+    refused_retry_elsewhere_is_not_reported_as_not_run
     refused_retry_is_not_reported_as_not_run
     relay_wakes_with_lapsed_lease
     restart_keeps_the_floor
