Probe a lost daemon before it is expired, and send guests home

A daemon's last word may come by another way after its link was lost, and then nobody expired it; records that were merely learned through a lost child also counted as lost. Lost daemons are now asked first, and those that do not answer expire.

Tests: killed nodes are now waited for until their port is closed.

--- a/crates/bench/src/spread/converge.rs
+++ b/crates/bench/src/spread/converge.rs
@@ -159,7 +159,7 @@
     let mut each = report::histogram();
     let mut last = vec![0; changes.len()];
     for daemon in &fleet.daemons {
-        let versions = probe::versions(&fleet.log(&daemon.spec.vm));
+        let versions = probe::versions(&fleet.log(&daemon.spec.vm), 0);
         for (change, last) in changes.iter().zip(&mut last) {
             let later = versions.range(change.version..);
             let Some(at) = later.map(|(_, at)| *at).min() else {
--- a/crates/bench/src/spread/herd.rs
+++ b/crates/bench/src/spread/herd.rs
@@ -82,7 +82,7 @@
     }
     let restart_ms = began.elapsed().as_millis();
     let restarted_us = probe::now_us();
-    wait_served(&fleet).await?;
+    wait_served(&fleet, &starts).await?;
     sleep(Duration::from_secs(1)).await;
     let after = fleet.kv.control.counts().await?;
 
@@ -101,12 +101,12 @@
         max_sent_bytes: 0,
     };
     for daemon in &fleet.daemons[1..] {
-        let versions = probe::versions(&fleet.log(&daemon.spec.vm));
+        let started = starts.get(&daemon.spec.vm).copied().unwrap_or_default();
+        let versions = probe::versions(&fleet.log(&daemon.spec.vm), started);
         let Some((first, at)) = versions.iter().min_by_key(|(_, at)| **at) else {
             continue;
         };
         result.older_versions += usize::from(*first < version);
-        let started = starts.get(&daemon.spec.vm).copied().unwrap_or_default();
         let serve_ms = at.saturating_sub(started) / 1_000;
         result.max_serve_ms = result.max_serve_ms.max(serve_ms);
         let recover_ms = at.saturating_sub(restarted_us) / 1_000;
@@ -118,11 +118,11 @@
     Ok(())
 }
 
-/// Waits until every daemon has some version in force, as its log says.
-async fn wait_served(fleet: &Fleet) -> Result<(), Error> {
+/// Waits until every restarted daemon has some version in force, as its log says.
+async fn wait_served(fleet: &Fleet, starts: &BTreeMap<String, u64>) -> Result<(), Error> {
     wait_until("a version on every daemon", LIMIT, async || {
-        let mut daemons = fleet.daemons.iter();
-        daemons.all(|daemon| !probe::versions(&fleet.log(&daemon.spec.vm)).is_empty())
+        let mut starts = starts.iter();
+        starts.all(|(vm, started)| !probe::versions(&fleet.log(vm), *started).is_empty())
     })
     .await
 }
--- a/crates/bench/src/spread/outage.rs
+++ b/crates/bench/src/spread/outage.rs
@@ -78,13 +78,14 @@
         spec.fleet = format!("seeds = [{}]", seeds.join(", "));
         let vm = spec.vm.clone();
         let started = Instant::now();
+        let started_us = probe::now_us();
         fleet.start_daemon(spec).await?;
         wait_until("a version on the restarted daemon", LIMIT, async || {
-            !probe::versions(&fleet.log(&vm)).is_empty()
+            !probe::versions(&fleet.log(&vm), started_us).is_empty()
         })
         .await?;
         max_back_ms = max_back_ms.max(started.elapsed().as_millis());
-        let versions = probe::versions(&fleet.log(&vm));
+        let versions = probe::versions(&fleet.log(&vm), started_us);
         older_versions += usize::from(versions.keys().any(|served| *served < version));
     }
     let mut served = 0;
--- a/crates/bench/src/spread/probe.rs
+++ b/crates/bench/src/spread/probe.rs
@@ -104,8 +104,10 @@
     at_us: Option<u64>,
 }
 
-/// Returns when each version came in force on a daemon, in microseconds of UNIX time.
-pub(crate) fn versions(log: &str) -> BTreeMap<u64, u64> {
+/// Returns when each version came in force on a daemon after `from`, in microseconds of UNIX time.
+///
+/// A restarted daemon's log follows the one of its predecessor.
+pub(crate) fn versions(log: &str, from: u64) -> BTreeMap<u64, u64> {
     let lines = log.lines().filter_map(|line| {
         let line: Line = serde_json::from_str(line).ok()?;
         if line.msg != "version in force" {
@@ -113,7 +115,7 @@
         }
         Some((line.version?, line.at_us?))
     });
-    lines.collect()
+    lines.filter(|(_, at)| *at >= from).collect()
 }
 
 /// Returns the UNIX time in microseconds.
--- a/crates/spread/src/follow.rs
+++ b/crates/spread/src/follow.rs
@@ -33,7 +33,7 @@
 enum Search {
     /// A parent was followed, and is lost now.
     Lost,
-    /// The parent asked this daemon to take a relay's duty.
+    /// This daemon should look whether there is a relay's duty to take.
     Appointed,
     /// There was no parent to follow; come back to those asked after this time.
     None(Duration),
@@ -67,7 +67,7 @@
 /// Follows a known daemon; asks the store for the relays only if none takes this one in.
 async fn step(hub: &Arc<Hub>) -> Search {
     let own = hub.relays.borrow().inside(&hub.settings.domain);
-    match search(hub, candidates(hub, own), Place::Tree).await {
+    match search(hub, candidates(hub, own)).await {
         Search::Appointed => {}
         Search::Lost => return Search::Lost,
         Search::None(_) if hub.retire.is_cancelled() => return Search::Lost,
@@ -78,19 +78,19 @@
             duty.run(hub).await;
             Search::Lost
         }
-        Ok(Claim::Others(relays)) => search(hub, relays.into(), Place::Tree).await,
+        Ok(Claim::Others(relays)) => search(hub, relays.into()).await,
         Err(error) => {
             debug!(hub.log, "store not reached"; "error" => %error);
             let relays: Relays = hub.relays.borrow().clone();
             let mut others = relays.outside(&hub.settings.domain);
             others.shuffle(&mut rand::rng());
-            search(hub, others.into(), Place::Guest).await
+            search(hub, others.into()).await
         }
     }
 }
 
 /// Asks one daemon after the other until one takes this one in, and follows it to the end.
-async fn search(hub: &Hub, mut queue: VecDeque<String>, place: Place) -> Search {
+async fn search(hub: &Hub, mut queue: VecDeque<String>) -> Search {
     let mut pause = Duration::ZERO;
     for _ in 0..MAX_ASKED {
         let Some(address) = queue.pop_front() else {
@@ -103,7 +103,7 @@
             // What it sent could not be put in force.
             continue;
         }
-        match link::run(hub, &address, place).await {
+        match link::run(hub, &address, Place::Tree).await {
             End::Appointed => return Search::Appointed,
             End::Busy { mut others, retry } => {
                 pause = pause.max(retry);
--- a/crates/spread/src/link.rs
+++ b/crates/spread/src/link.rs
@@ -5,6 +5,7 @@
 use futures_util::StreamExt;
 use member::{Buckets, LinkId, Sequence};
 use model::VmId;
+use rand::RngExt;
 use slog::{debug, warn};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, interval, sleep_until, timeout_at};
@@ -23,16 +24,15 @@
 /// Shortest time between two reports; what changes meanwhile coalesces.
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time that a daemon stays below a relay of another failure domain.
-const GUEST_STAY: Duration = Duration::from_secs(30);
+/// Mean time that a daemon stays below one of another failure domain, before it looks in the store
+/// whether its own has a relay, or a vacant place for one.
+const GUEST_STAY: Duration = Duration::from_secs(10);
 
 /// Place of a link in the fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Place {
     /// To the parent in the tree.
     Tree,
-    /// To a parent in another failure domain, for a while.
-    Guest,
     /// To a relay of another failure domain, or of this one.
     Mesh,
 }
@@ -47,7 +47,7 @@
         /// When to come back.
         retry: Duration,
     },
-    /// The parent asked this daemon to take a relay's duty.
+    /// This daemon should look whether there is a relay's duty to take.
     Appointed,
     /// The link was lost after it stood.
     Lost(String),
@@ -62,7 +62,7 @@
         Err(status) => return End::Failed(status.message().into()),
     };
     let end = link.run(hub).await;
-    if place != Place::Mesh {
+    if place == Place::Tree {
         hub.parent.send_replace(None);
     }
     end
@@ -108,7 +108,7 @@
             mark,
             report: Report::default(),
             stood: false,
-            leave_at: (place == Place::Guest).then(|| Instant::now() + GUEST_STAY),
+            leave_at: None,
         })
     }
 
@@ -160,7 +160,7 @@
                     report_at.get_or_insert(last_report + REPORT_PAUSE);
                 }
                 () = sleep_until(self.leave_at.unwrap_or(silent_at)), if self.leave_at.is_some() => {
-                    return self.lost("time to look for a parent in this failure domain");
+                    return End::Appointed;
                 }
                 () = hub.stop.cancelled() => return self.lost("this daemon stops"),
             }
@@ -177,8 +177,12 @@
         }
         if !self.stood {
             self.stood = true;
-            if self.place != Place::Mesh {
+            if self.place == Place::Tree {
                 hub.parent.send_replace(Some(self.address.clone()));
+                if down.domain != hub.settings.domain.as_str() {
+                    let stay = GUEST_STAY.mul_f64(rand::rng().random_range(0.5..1.5));
+                    self.leave_at = Some(Instant::now() + stay);
+                }
             }
         }
         let update = Update {
--- a/crates/spread/src/repair.rs
+++ b/crates/spread/src/repair.rs
@@ -109,6 +109,16 @@
     buckets
 }
 
+/// Returns whether the daemon that wrote `record` answers.
+pub(crate) async fn answers(hub: &Hub, record: &Record) -> bool {
+    let request = CompareRequest {
+        root: hub.table.members().buckets().root(),
+        ..CompareRequest::default()
+    };
+    let address = record.fleet.to_string();
+    call(hub, &address, request).await.is_ok()
+}
+
 async fn call(hub: &Hub, address: &str, request: CompareRequest) -> Result<CompareReply, Status> {
     let mut client = hub.client(address)?;
     hub.traffic.sent(&request);
--- a/crates/spread/src/upper.rs
+++ b/crates/spread/src/upper.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::StreamExt;
+use futures_util::{StreamExt, stream};
 use member::{Buckets, LinkId, Record, Sequence};
 use model::{DomainName, Version, VmId};
 use rand::RngExt;
@@ -17,6 +17,7 @@
 use crate::codec::{self, Mark};
 use crate::counts::Report;
 use crate::hub::{Hub, is_mesh};
+use crate::repair;
 use crate::server::buckets;
 
 /// When a daemon that finds no room here may come back.
@@ -28,6 +29,9 @@
 /// Shortest time between two lots of records; those written meanwhile are sent together.
 const RECORDS_PAUSE: Duration = Duration::from_millis(100);
 
+/// Daemons asked at once whether they live.
+const MAX_PROBES: usize = 16;
+
 /// Time for which daemons stay routed when a suspiciously large share was lost at once.
 const DOUBT: Duration = Duration::from_secs(30);
 
@@ -150,26 +154,48 @@
         lost
     }
 
-    /// Expires those of `lost` that have not announced themselves anew.
+    /// Expires those of `lost` that are gone.
     async fn expire(&self, lost: Vec<Record>) {
-        let members = self.hub.table.members();
-        let known = members.of_domain(&self.domain).len();
-        let still = |record: &Record| members.get(&record.vm).as_ref() == Some(record);
-        let silent = lost.iter().filter(|record| still(record)).count();
-        if silent > 0 && !self.hub.may_expire(silent, known) {
-            warn!(self.hub.log, "many daemons lost at once; they stay routed for now";
-                "lost" => silent, "known" => known);
+        let hub = &self.hub;
+        let gone = self.gone(lost).await;
+        let known = hub.table.members().of_domain(&self.domain).len();
+        if !gone.is_empty() && !hub.may_expire(gone.len(), known) {
+            warn!(hub.log, "many daemons lost at once; they stay routed for now";
+                "lost" => gone.len(), "known" => known);
             sleep(DOUBT).await;
-            if self.hub.path.borrow().is_empty() {
+            if hub.path.borrow().is_empty() {
                 return;
             }
         }
-        for record in lost.iter().filter(|record| still(record)) {
-            info!(self.hub.log, "daemon expired"; "vm" => %record.vm);
-            self.hub.table.expire(&record.vm);
+        for record in gone {
+            if hub.table.members().get(&record.vm).as_ref() == Some(&record) {
+                info!(hub.log, "daemon expired"; "vm" => %record.vm);
+                hub.table.expire(&record.vm);
+            }
         }
     }
 
+    /// Returns the newest records of those of `lost` that do not answer.
+    ///
+    /// A daemon below the lost one that has announced itself anew has another parent. The lost one
+    /// itself is asked even then: its last word may have come by another way.
+    async fn gone(&self, lost: Vec<Record>) -> Vec<Record> {
+        let hub = &self.hub;
+        let newest = lost.into_iter().filter_map(|old| {
+            let new = hub.table.members().get(&old.vm)?;
+            let asked = new.is_alive() && (new == old || new.vm == self.vm);
+            asked.then_some(new)
+        });
+        let probes = newest.map(|record| async {
+            match repair::answers(hub, &record).await {
+                true => None,
+                false => Some(record),
+            }
+        });
+        let gone = stream::iter(probes).buffer_unordered(MAX_PROBES);
+        gone.filter_map(async |record| record).collect().await
+    }
+
     /// Serves the child until the link ends; returns why it did.
     async fn serve(&mut self, mut ups: Streaming<Up>) -> &'static str {
         let hub = Arc::clone(&self.hub);
@@ -281,6 +307,7 @@
         let mut down = Down::default();
         let mut sequence = self.sent;
         if let Some(theirs) = self.digests.take() {
+            down.domain = hub.settings.domain.to_string();
             let own = members.buckets();
             let differing = own.differing(&theirs);
             if !differing.is_empty() {
--- a/crates/spread/tests/nodes/census.rs
+++ b/crates/spread/tests/nodes/census.rs
@@ -21,7 +21,7 @@
         .expect("the membership is in the store");
     let entries = kv.list("members/a/", "", 9).await.expect("entries");
     assert!(entries.iter().all(|entry| entry.value.len() < 1_000_000));
-    drop(writer);
+    writer.kill().await;
     kv.delete("relay/a/0", Expect::Any).await.expect("deleted");
 
     let cold = TestNode::spawn(&kv, "a-9", "a", &[]).await;
--- a/crates/spread/tests/nodes/duty.rs
+++ b/crates/spread/tests/nodes/duty.rs
@@ -21,7 +21,7 @@
     wait("a successor of the stopped relay", || relays(&nodes) == 2).await;
     // A crash: the place is vacant once the lease has lapsed.
     let place = nodes.iter().position(|node| node.node.is_relay());
-    drop(nodes.remove(place.expect("a relay")));
+    nodes.remove(place.expect("a relay")).kill().await;
     wait("a successor of the dead relay", || relays(&nodes) == 2).await;
     accept(&kv, 1).await;
     serving(&nodes, 1).await;
@@ -92,3 +92,14 @@
     accept(&kv, 2).await;
     serving(&nodes, 2).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guest_below_another_failure_domain_takes_the_vacant_duty_of_its_own() {
+    let kv = Kv::open();
+    let host = TestNode::spawn(&kv, "a-0", "a", &[]).await;
+    wait("the duty is taken", || host.node.is_relay()).await;
+    let guest = TestNode::spawn(&kv, "b-0", "b", &[host.address]).await;
+    wait("the guest has a place", || guest.node.is_rooted()).await;
+    assert!(!guest.node.is_relay());
+    wait("the guest takes the duty", || guest.node.is_relay()).await;
+}
--- a/crates/spread/tests/nodes/floor.rs
+++ b/crates/spread/tests/nodes/floor.rs
@@ -29,7 +29,7 @@
     accept(&kv, 2).await;
     serving(&nodes, 2).await;
     set_down(&kv, true);
-    drop(nodes.remove(3));
+    nodes.remove(3).kill().await;
 
     let seeds = [nodes[1].address, nodes[2].address];
     let restarted = TestNode::spawn(&kv, "a-1", "a", &seeds).await;
@@ -54,7 +54,9 @@
     set_down(&kv, true);
     // Two failure domains lose their relays, and with them perhaps the newest version.
     let survivor = nodes.remove(2);
-    drop(nodes);
+    for node in nodes {
+        node.kill().await;
+    }
     let restarted = TestNode::spawn(&kv, "c-1", "c", &[survivor.address]).await;
     hold("the restarted daemon serves nothing", || {
         restarted.version() == 0 && !restarted.node.is_ready()
@@ -75,7 +77,9 @@
     accept(&kv, 1).await;
     serving(&nodes, 1).await;
     // The relay of `a` alone still reads the store; the others are as good as frozen.
-    nodes.truncate(1);
+    for node in nodes.split_off(1) {
+        node.kill().await;
+    }
     accept(&kv, 2).await;
     hold("the lonely relay keeps the version back", || {
         nodes[0].version() == 1
--- a/crates/spread/tests/nodes/repair.rs
+++ b/crates/spread/tests/nodes/repair.rs
@@ -22,7 +22,7 @@
     })
     .await;
     set_down(&kv, true);
-    drop(relay);
+    relay.kill().await;
     wait("the daemons are orphans", || {
         nodes.iter().all(|node| !node.node.is_rooted())
     })
@@ -77,7 +77,7 @@
         nodes.iter().all(|node| node.live().len() == 12)
     })
     .await;
-    drop(nodes.pop());
+    nodes.pop().expect("a node").kill().await;
     wait("the killed daemon expires", || {
         nodes.iter().all(|node| node.live().len() == 11)
     })
@@ -158,7 +158,9 @@
         nodes.iter().all(|node| node.live().len() == 5)
     })
     .await;
-    nodes.truncate(3);
+    for node in nodes.split_off(3) {
+        node.kill().await;
+    }
     wait("the lost daemons expire", || {
         nodes
             .iter()
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -12,7 +12,7 @@
 use spread::{Local, Node, Settings};
 use standin::Kv;
 use table::Table;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
 /// Longest wait for a condition that must come about.
@@ -128,6 +128,14 @@
         }
     }
 
+    /// Ends the node without a word, as a crash does, and waits until its port is closed.
+    pub(crate) async fn kill(self) {
+        drop(self.node);
+        while TcpStream::connect(self.address).await.is_ok() {
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+
     /// Returns the version in force.
     pub(crate) fn version(&self) -> u64 {
         self.table.snapshot().version.get()
