--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -74,6 +74,7 @@
             slots,
             connections: 110,
             state: Readiness::Ready,
+            start: Default::default(),
         };
         backend.announce(announcement.clone());
         let key = Secret::new("fleet");
@@ -162,6 +163,7 @@
         region: "cz-morava".parse().expect("a valid name"),
         slots,
         expired: false,
+        ended: None,
     }
 }
 
