Drain one's own upstream without the network, and bound every step of a stop together

Cause, found by a chaos run: a drain asked at a daemon for its own VM went over the fleet's network to itself, without a deadline, and hung for 10 minutes while that address was cut. By reading: the parts of a planned stop each had the whole limit, one after the other; a body that overran its limit on a retry was told not-run although an earlier try may have run; each version was logged twice.

Change: a daemon drains its own upstream itself, asks another for at most 3 s, stops by one deadline, and tells an overrun after an unsure try as unknown. One log line for each version.

Measured: the new scenario drain_needs_no_network_to_its_own_vm fails with the change taken out and passes with it; all drain scenarios pass.

--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -122,7 +122,7 @@
             tried.push(upstream.vm.clone());
             let ended = self.try_once(call, pool, upstream, body).await;
             if payload.overran() {
-                return Err(overrun(call, ended.outcome()));
+                return Err(overrun(call, ended.outcome(), unsure));
             }
             if !self.may_go_on(call, pool, &payload, &ended, tried.len() as u32) {
                 return ended.into_answer(unsure);
@@ -230,12 +230,13 @@
     )
 }
 
-/// Describes a call whose body went over the limit on its way.
-fn overrun(call: &Call, outcome: Option<Outcome>) -> Refusal {
+/// Describes a call whose body went over the limit on its way; `unsure` says whether an earlier
+/// try may have run.
+fn overrun(call: &Call, outcome: Option<Outcome>, unsure: bool) -> Refusal {
     let limit = call.route.route.rules.body_limit;
     let message = format!("the body went over the route's limit of {limit}; send less");
     match outcome {
-        Some(Outcome::NotRun) => Refusal::not_run(RefusalKind::TooLarge, message),
+        Some(Outcome::NotRun) if !unsure => Refusal::not_run(RefusalKind::TooLarge, message),
         _ => Refusal::unknown(RefusalKind::TooLarge, message),
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,16 +8,15 @@
 use call::{Announcement, Backend, Gate, Ingress, Metrics, Readiness, Server};
 use ledger::Ledger;
 use member::{Members, Record, UpstreamState};
-use model::{Incarnation, UnixMillis, Version};
+use model::{Incarnation, UnixMillis};
 use prometheus::Registry;
 use slog::{Logger, info, o};
 use spread::{Local, Node};
 use store::{GrpcStore, Store};
 use table::Table;
 use tokio::net::TcpListener;
-use tokio::sync::watch::Receiver;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::counted::CountedStore;
 use crate::{Settings, SpawnError};
@@ -25,6 +24,9 @@
 /// Time between announcing the stop and refusing calls, so that others hear of it first.
 const LEAVE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time that the distribution has to hand over and end, also when the calls used up the limit.
+const NODE_STOP: Duration = Duration::from_secs(2);
+
 /// Addresses of a running daemon.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -180,7 +182,6 @@
             log: log.clone(),
         };
         let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
-        tokio::spawn(log_versions(table.subscribe(), log.clone()));
         info!(log, "daemon started";
             "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
             "admin" => %addresses.admin, "announce" => %addresses.announce);
@@ -220,13 +221,15 @@
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         sleep(LEAVE_PAUSE).await;
-        self.announce.stop(self.stop_limit).await;
-        let mut cut = self.ingress.stop(self.stop_limit).await;
-        cut += self.gate.stop(self.stop_limit).await;
+        let deadline = Instant::now() + self.stop_limit;
+        let left = || deadline.saturating_duration_since(Instant::now());
+        self.announce.stop(left()).await;
+        let mut cut = self.ingress.stop(left()).await;
+        cut += self.gate.stop(left()).await;
         // An accept in flight is answered before the distribution ends.
-        self.admin.stop(self.stop_limit).await;
+        self.admin.stop(left()).await;
         // A peer that stands still would keep its link, and with it the stop, open for ever.
-        let _ = timeout(self.stop_limit, self.node.stop()).await;
+        let _ = timeout(left().max(NODE_STOP), self.node.stop()).await;
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
     }
@@ -241,14 +244,6 @@
     }
 }
 
-/// Logs each version that is put in force, until the table is gone.
-async fn log_versions(mut versions: Receiver<Version>, log: Logger) {
-    while versions.changed().await.is_ok() {
-        let version = *versions.borrow_and_update();
-        info!(log, "version in force"; "version" => version.get());
-    }
-}
-
 /// Describes the upstream in this daemon's record.
 fn describe(record: &mut Record, announced: Option<&Announcement>) {
     let Some(announced) = announced else {
--- a/crates/proof/tests/scenarios.rs
+++ b/crates/proof/tests/scenarios.rs
@@ -366,6 +366,7 @@
     answers_belong
     bad_version_is_not_applied
     converges_and_never_reverts
+    drain_needs_no_network_to_its_own_vm
     drain_receives_no_new_work
     drain_survives_a_frozen_daemon
     lost_answer_is_settled
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ledger::Ledger;
-use model::VmId;
+use model::{Version, VmId};
 use prometheus::Registry;
 use slog::{Logger, info};
 use store::Store;
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::sync::Mutex;
+use tokio::sync::watch::Receiver;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tonic::transport::Server as GrpcServer;
@@ -27,6 +28,9 @@
 /// Longest wait until the duty is handed over.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for the daemon that is asked to drain its upstream.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Most relays of the whole fleet.
 const MAX_SUMMARIES: u32 = 256;
 
@@ -65,6 +69,7 @@
 #[derive(Debug)]
 pub struct Node {
     hub: Arc<Hub>,
+    local: Arc<dyn Local>,
     tasks: Mutex<JoinSet<()>>,
 }
 
@@ -92,7 +97,7 @@
         let hub = Arc::new(hub);
         let service = FleetServer::new(Server {
             hub: Arc::clone(&hub),
-            local,
+            local: Arc::clone(&local),
         })
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
@@ -109,9 +114,9 @@
         });
         tasks.spawn(follow::run(Arc::clone(&hub)));
         tasks.spawn(repair::run(Arc::clone(&hub)));
-        tasks.spawn(note_versions(Arc::clone(&hub)));
+        tasks.spawn(note_versions(Arc::clone(&hub), hub.table.subscribe()));
         let tasks = Mutex::new(tasks);
-        Ok(Self { hub, tasks })
+        Ok(Self { hub, local, tasks })
     }
 
     /// Returns the fleet address.
@@ -195,6 +200,12 @@
     ///
     /// Fails if the daemon is not known, does not answer, or has no upstream.
     pub async fn drain(&self, vm: &VmId) -> Result<(), DrainError> {
+        if *vm == self.hub.settings.vm {
+            return match self.local.drain() {
+                true => Ok(()),
+                false => Err(DrainError::NoUpstream(vm.clone())),
+            };
+        }
         let record = self.hub.table.members().get(vm);
         let record = record.ok_or_else(|| DrainError::NoVm(vm.clone()))?;
         let fail =
@@ -202,7 +213,10 @@
         let mut client = self.hub.client(&record.fleet.to_string()).map_err(fail)?;
         let message = DrainRequest { vm: vm.to_string() };
         let request = self.hub.request(message).map_err(fail)?;
-        let reply = client.drain(request).await.map_err(fail)?;
+        let reply = timeout(DRAIN_TIMEOUT, client.drain(request))
+            .await
+            .map_err(|_| fail(tonic::Status::deadline_exceeded("no answer in time")))?
+            .map_err(fail)?;
         if reply.into_inner().draining {
             return Ok(());
         }
@@ -229,8 +243,7 @@
 }
 
 /// Logs each version that comes in force, and when it did.
-async fn note_versions(hub: Arc<Hub>) {
-    let mut versions = hub.table.subscribe();
+async fn note_versions(hub: Arc<Hub>, mut versions: Receiver<Version>) {
     loop {
         tokio::select! {
             changed = versions.changed() => if changed.is_err() {
