--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -2,6 +2,7 @@
 
 mod accepts;
 mod baseline;
+mod bed;
 mod churn;
 mod converge;
 mod design;
--- /dev/null
+++ b/crates/bench/src/spread/bed.rs
@@ -0,0 +1,36 @@
+//! A fleet that serves a configuration of the design size.
+
+use harness::{Error, Fleet};
+
+use super::probe;
+use super::workload::{TEAM, Workload};
+
+/// A fleet, and the configuration that every daemon of it serves.
+#[derive(Debug)]
+pub(crate) struct Bed {
+    pub(crate) fleet: Fleet,
+    pub(crate) workload: Workload,
+    /// Version in force on every daemon.
+    pub(crate) version: u64,
+}
+
+impl Bed {
+    /// Starts `daemons` in `domains` failure domains and waits until all serve the configuration
+    /// made from `seed`.
+    pub(crate) async fn open(daemons: usize, domains: usize, seed: u64) -> Result<Self, Error> {
+        let mut fleet = Fleet::open(&[TEAM]).await?;
+        for i in 0..daemons {
+            fleet.start_daemon(probe::spec(i, domains)).await?;
+        }
+        let workload = Workload::new(seed)?;
+        let config = workload.json()?;
+        let accepted = fleet.accept(0, &config, &workload.accept_id()?).await?;
+        let version = accepted.version.get();
+        probe::wait_counted(&fleet, daemons, version).await?;
+        Ok(Self {
+            fleet,
+            workload,
+            version,
+        })
+    }
+}
--- a/crates/bench/src/spread/converge.rs
+++ b/crates/bench/src/spread/converge.rs
@@ -9,8 +9,9 @@
 use tokio::time::{Instant, sleep};
 
 use super::baseline;
+use super::bed::Bed;
 use super::probe::{self, Load};
-use super::workload::{TEAM, Workload};
+use super::workload::Workload;
 use crate::report::{self, Micros};
 
 /// Size of the run.
@@ -72,15 +73,13 @@
 
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
-    let mut fleet = Fleet::open(&[TEAM]).await?;
-    for i in 0..args.daemons {
-        fleet.start_daemon(probe::spec(i, args.domains)).await?;
-    }
-    let mut workload = Workload::new(args.seed)?;
-    let config = workload.json()?;
-    let first = fleet.accept(0, &config, &workload.accept_id()?).await?;
-    probe::wait_counted(&fleet, args.daemons, first.version.get()).await?;
+    let Bed {
+        fleet,
+        mut workload,
+        ..
+    } = Bed::open(args.daemons, args.domains, args.seed).await?;
 
+    let config_bytes = workload.json()?.len();
     let idle = Span::begin(&fleet).await?;
     sleep(Duration::from_secs(args.idle_s)).await;
     let idle = idle.end(&fleet).await?;
@@ -118,7 +117,7 @@
         daemons: args.daemons,
         domains: args.domains,
         changes: args.changes,
-        config_bytes: config.len(),
+        config_bytes,
         in_force_us: Micros::from(&in_force),
         everywhere_us: Micros::from(&everywhere),
         accept_us: Micros::from(&accepts),
--- a/crates/bench/src/spread/herd.rs
+++ b/crates/bench/src/spread/herd.rs
@@ -10,8 +10,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
+use super::bed::Bed;
 use super::probe::{self, LIMIT};
-use super::workload::{TEAM, Workload};
 use crate::report;
 
 /// Time over which the peak of the store's calls is taken.
@@ -53,13 +53,11 @@
 
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
-    let mut fleet = Fleet::open(&[TEAM]).await?;
-    for i in 0..args.daemons {
-        fleet.start_daemon(probe::spec(i, args.domains)).await?;
-    }
-    let mut workload = Workload::new(args.seed)?;
-    let config = workload.json()?;
-    fleet.accept(0, &config, &workload.accept_id()?).await?;
+    let Bed {
+        mut fleet,
+        mut workload,
+        ..
+    } = Bed::open(args.daemons, args.domains, args.seed).await?;
     let config = workload.change()?;
     let accepted = fleet.accept(0, &config, &workload.accept_id()?).await?;
     let version = accepted.version.get();
--- a/crates/bench/src/spread/outage.rs
+++ b/crates/bench/src/spread/outage.rs
@@ -9,8 +9,8 @@
 use standin::Faults;
 use tokio::time::{Instant, sleep};
 
+use super::bed::Bed;
 use super::probe::{self, LIMIT};
-use super::workload::{TEAM, Workload};
 use crate::report;
 
 /// Size of the run.
@@ -52,15 +52,11 @@
 
 /// Runs the benchmark.
 pub(crate) async fn run(args: Args) -> Result<(), Error> {
-    let mut fleet = Fleet::open(&[TEAM]).await?;
-    for i in 0..args.daemons {
-        fleet.start_daemon(probe::spec(i, args.domains)).await?;
-    }
-    let mut workload = Workload::new(args.seed)?;
-    let config = workload.json()?;
-    let first = fleet.accept(0, &config, &workload.accept_id()?).await?;
-    let version = first.version.get();
-    probe::wait_counted(&fleet, args.daemons, version).await?;
+    let Bed {
+        mut fleet,
+        mut workload,
+        version,
+    } = Bed::open(args.daemons, args.domains, args.seed).await?;
 
     set_down(&fleet, true).await?;
     sleep(Duration::from_secs(args.outage_s)).await;
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -139,8 +139,8 @@
 
 /// Runs a documented command and returns its standard output.
 async fn shell(demo: &Demo, line: &str, dir: &Path) -> String {
-    // The program's own path may be below /tmp, so it is put in last.
-    let line = line.replace("/tmp/", &format!("{}/", dir.display()));
+    let copy = dir.join("brno.json");
+    let line = line.replace("target/brno.json", &copy.display().to_string());
     let line = line.replace(PROGRAM, env!("CARGO_BIN_EXE_sardinestall"));
     let output = Command::new("sh")
         .args(["-ec", &line])
