Take REFUSED_STREAM for the proof of not-run that it is

Cause: a call that the gate's end of the connection refused before it looked at it was told `unknown`, so a call that may run only once was not sent again. Ruled out: GOAWAY; the library hands the same error to calls that were processed.

--- a/crates/call/src/links.rs
+++ b/crates/call/src/links.rs
@@ -61,7 +61,7 @@
             match error.take_message() {
                 Some(unsent) if !fresh => request = unsent,
                 Some(_) => return Err(unreachable(address, error.into_error())),
-                None => return Err(broken(&error.into_error())),
+                None => return Err(lost(&error.into_error())),
             }
         }
     }
@@ -122,6 +122,31 @@
     Refusal::not_run(RefusalKind::Unreachable, message)
 }
 
+/// Classifies a call that was sent and got no answer.
+fn lost(error: &hyper::Error) -> Refusal {
+    if is_refused(error) {
+        let message = "the gate refused the call before it looked at it; try again";
+        return Refusal::not_run(RefusalKind::Unreachable, message);
+    }
+    broken(error)
+}
+
+/// Returns whether the gate's end of the connection states that it never processed the call.
+///
+/// A GOAWAY is no such word here: the library tells it alike for calls that were processed.
+fn is_refused(error: &hyper::Error) -> bool {
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        if let Some(reset) = error.downcast_ref::<h2::Error>() {
+            return reset.is_remote()
+                && reset.is_reset()
+                && reset.reason() == Some(h2::Reason::REFUSED_STREAM);
+        }
+        cause = error.source();
+    }
+    false
+}
+
 fn broken(error: &hyper::Error) -> Refusal {
     let message = format!("the connection to the gate broke ({error}); the call may have run");
     Refusal::unknown(RefusalKind::Broken, message)
