--- a/crates/admin/src/health.rs
+++ b/crates/admin/src/health.rs
@@ -1,8 +1,13 @@
 //! Health, readiness and metrics.
 
+use axum::Router;
 use axum::extract::State;
 use axum::response::{IntoResponse, Response};
+use axum::routing::get;
 use model::Version;
+use prometheus::Registry;
+use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
 
 use crate::{Api, ErrorKind, ErrorPage};
 
@@ -26,9 +31,27 @@
 /// Returns the daemon's metrics in the text format of Prometheus.
 pub(crate) async fn metrics(State(api): State<Api>) -> Result<Response, ErrorPage> {
     api.metrics.observe(api.members(), api.node.is_rooted());
+    exposition(&api.registry)
+}
+
+/// Starts to serve nothing but `registry` on `listener`, in the text format of Prometheus.
+pub fn spawn_metrics(registry: Registry, listener: TcpListener) -> AbortHandle {
+    let routes = Router::new().route(
+        "/metrics",
+        get(move || async move { exposition(&registry) }),
+    );
+    tokio::spawn(async move {
+        // Ends with the daemon only.
+        let _ = axum::serve(listener, routes).await;
+    })
+    .abort_handle()
+}
+
+/// Writes the metrics of `registry`.
+fn exposition(registry: &Registry) -> Result<Response, ErrorPage> {
     let encoder = prometheus::TextEncoder::new();
     let text = encoder
-        .encode_to_string(&api.registry.gather())
+        .encode_to_string(&registry.gather())
         .map_err(|error| {
             ErrorPage::new(
                 ErrorKind::Unavailable,
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -19,6 +19,7 @@
 pub use auth::{Operator, Operators, TokenHash, TokenHashError};
 pub use client::{Client, ClientError};
 pub use error::{ErrorKind, ErrorPage};
+pub use health::spawn_metrics;
 pub use message::{
     AcceptQuery, Accepted, Checked, DiffReply, KeyChange, LogEntry, RollbackQuery, Shown, Status,
     VersionCount,
--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -78,8 +78,19 @@
         self.lock().load()
     }
 
-    /// Waits for a slot as long as there is hope for one before `deadline`.
-    pub(crate) async fn enter(&self, priority: Priority, deadline: Instant) -> Verdict {
+    /// Returns the time until a call that arrives now would get a slot.
+    pub(crate) fn wait(&self) -> Duration {
+        self.lock().expected_wait()
+    }
+
+    /// Takes a slot; with `wait`, waits for one as long as there is hope before `deadline`.
+    pub(crate) async fn enter(&self, priority: Priority, deadline: Instant, wait: bool) -> Verdict {
+        if !wait {
+            return match self.lock().enter_now() {
+                true => Ok(self.slot()),
+                false => Err(Shed::Full),
+            };
+        }
         let (waiter, verdict) = oneshot::channel();
         let entry = self
             .lock()
--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use model::{Incarnation, Millis, ServiceName};
+use model::{Incarnation, InstanceId, Millis, ServiceName};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -37,21 +38,39 @@
     /// Start of the upstream's process; an operator's drain holds for one start.
     #[serde(default)]
     pub start: Incarnation,
+    /// Id of the running upstream, which it checks requests against.
+    #[serde(default)]
+    pub instance: Option<InstanceId>,
+    /// Number of the announcement within its start; 0 where the upstream does not count.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 impl Announcement {
     /// Returns whether `other` comes from the same start of the same upstream.
     fn is_same(&self, other: &Self) -> bool {
-        self.address == other.address && self.start == other.start
+        self.address == other.address
+            && self.start == other.start
+            && self.instance == other.instance
+    }
+
+    /// Returns whether this was said before `other`, and only arrives after it.
+    fn is_older(&self, other: &Self) -> bool {
+        let order = |one: &Self| (one.start, one.sequence);
+        order(self) < order(other) || (self.sequence > 0 && order(self) == order(other))
     }
 }
 
+/// Time after the end of an upstream in which an older one's word is taken for a late one.
+const LATE_LIMIT: Duration = Duration::from_secs(10);
+
 /// The announced upstream and when it is no longer believed.
 #[derive(Debug, Clone, PartialEq)]
 struct Announced {
     announcement: Announcement,
     expires: Instant,
-    /// Whether an operator drains the upstream, whatever it says itself.
+    /// Whether the upstream drains whatever it says itself: an operator drains it, or it said that
+    /// it leaves.
     drained: bool,
 }
 
@@ -90,19 +109,58 @@
     /// An operator's drain holds on until another start of the upstream announces itself. Silence
     /// does not end it: a daemon that stood still hears of its upstream late.
     pub fn announce(&self, announcement: Announcement) {
-        let expires = Instant::now() + self.silence.duration();
-        self.announced.send_modify(|announced| {
-            let drained = announced
-                .as_ref()
-                .is_some_and(|old| old.drained && old.announcement.is_same(&announcement));
+        let now = Instant::now();
+        let expires = now + self.silence.duration();
+        self.announced.send_if_modified(|announced| {
+            let old = announced.as_ref();
+            let late = old.is_some_and(|old| {
+                let same = old.announcement.instance == announcement.instance;
+                announcement.is_older(&old.announcement) && (same || now < old.expires + LATE_LIMIT)
+            });
+            if late {
+                return false;
+            }
+            let drained =
+                old.is_some_and(|old| old.drained && old.announcement.is_same(&announcement));
             *announced = Some(Announced {
                 announcement,
                 expires,
                 drained,
             });
+            true
         });
     }
 
+    /// Takes the word of the upstream `instance` that it leaves; returns whether it is the one that
+    /// is known. `start` is the start that said so, where it is told.
+    pub fn leave(&self, instance: &InstanceId, start: Option<Incarnation>) -> bool {
+        self.announced.send_if_modified(|announced| {
+            let Some(old) = announced else {
+                return false;
+            };
+            let known = old.announcement.instance.as_ref() == Some(instance);
+            if !known || start.is_some_and(|start| start < old.announcement.start) {
+                return false;
+            }
+            old.drained = true;
+            true
+        })
+    }
+
+    /// Forgets an upstream that turned out not to have its address any more, until it announces
+    /// itself again.
+    pub(crate) fn forget(&self, instance: Option<&InstanceId>) {
+        let now = Instant::now();
+        self.announced
+            .send_if_modified(|announced| match announced {
+                Some(old) if old.announcement.instance.as_ref() == instance => {
+                    old.expires = old.expires.min(now);
+                    true
+                }
+                _ => false,
+            });
+    }
+
     /// Makes the upstream drain, whatever it says; returns whether there is one.
     pub fn drain(&self) -> bool {
         self.announced
--- a/crates/call/src/body.rs
+++ b/crates/call/src/body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Empty, Full};
 
 /// Any failure of a body.
 pub(crate) type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -21,6 +21,11 @@
         .boxed_unsync()
 }
 
+/// Returns a body without any byte.
+pub(crate) fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
 /// Returns any body as a [`Body`].
 pub(crate) fn boxed<B>(body: B) -> Body
 where
--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -47,6 +47,13 @@
     }
 }
 
+impl Budget {
+    /// Gives back a retry that did not reach an upstream.
+    pub fn refund(&mut self) {
+        self.earn(PARTS);
+    }
+}
+
 /// Budgets of all services.
 #[derive(Debug, Default)]
 pub struct Budgets(Mutex<HashMap<ServiceName, Budget>>);
@@ -62,6 +69,11 @@
         self.with(&service.name, Budget::spend)
     }
 
+    /// Gives back a retry of `service` that did not reach an upstream.
+    pub fn refund(&self, service: &Service) {
+        self.with(&service.name, Budget::refund);
+    }
+
     fn with<T>(&self, name: &ServiceName, change: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(budget) = budgets.get_mut(name) {
--- a/crates/call/src/connections.rs
+++ b/crates/call/src/connections.rs
@@ -60,6 +60,13 @@
     }
 }
 
+impl InUse {
+    /// Closes the connection instead of keeping it.
+    pub(crate) fn discard(&mut self) {
+        self.sender = None;
+    }
+}
+
 impl Connections {
     /// Sends `request` to the upstream at `address`; at most `limit` connections are kept.
     ///
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -5,7 +5,8 @@
 
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
-use model::Secret;
+use hyper::body::Incoming;
+use model::{ConnectionLimits, Secret};
 use prometheus::IntGauge;
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -16,7 +17,10 @@
 use crate::body::{Body, Holding, boxed};
 use crate::bounds::timed;
 use crate::connections::{Connections, InUse};
-use crate::header::{DEADLINE, FLEET_KEY, KEY, LOAD, SERVICE, number, remove_hop, remove_own};
+use crate::dialect::{Dialect, Envelope, Judgement};
+use crate::header::{
+    CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, SERVICE, number, remove_hop, remove_own,
+};
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
 use crate::queue::Shed;
@@ -27,6 +31,9 @@
 /// Time that a call may take where the ingress states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time beyond the deadline in which the upstream's own word on it is still awaited.
+const ANSWER_SLACK: Duration = Duration::from_millis(100);
+
 /// The gate beside an upstream.
 #[derive(Debug)]
 pub struct Gate {
@@ -35,6 +42,7 @@
     keys: Keys,
     connections: Arc<Connections>,
     key: Secret,
+    dialect: Arc<dyn Dialect>,
     metrics: Metrics,
 }
 
@@ -58,13 +66,21 @@
 
 impl Gate {
     /// Returns the gate in front of `backend` for a fleet that shares `key`.
-    pub fn open(backend: Arc<Backend>, key: Secret, metrics: Metrics) -> Arc<Self> {
+    ///
+    /// Upstreams are spoken to in `dialect`.
+    pub fn open(
+        backend: Arc<Backend>,
+        key: Secret,
+        dialect: Arc<dyn Dialect>,
+        metrics: Metrics,
+    ) -> Arc<Self> {
         Arc::new(Self {
             backend,
             admission: Admission::new(),
             keys: Keys::default(),
             connections: Arc::default(),
             key,
+            dialect,
             metrics,
         })
     }
@@ -80,13 +96,13 @@
         log: Logger,
     ) -> Result<Server, ServerError> {
         let gate = Arc::clone(self);
-        Server::spawn(listener, log, move |request| {
+        Server::spawn(listener, ConnectionLimits::default, log, move |request| {
             let gate = Arc::clone(&gate);
             async move {
-                let answered = gate.answer(request.map(boxed)).await;
+                let answered = gate.answer(request).await;
                 let mut response = answered.unwrap_or_else(|refusal| {
                     gate.metrics.refused(&refusal);
-                    refusal.response()
+                    refusal.to_daemon()
                 });
                 let load = HeaderValue::from(gate.admission.load());
                 response.headers_mut().insert(LOAD, load);
@@ -102,22 +118,29 @@
         self.check_backend(request.headers())?;
         let mut claim = self.claim(request.headers())?;
         let (running, announced) = self.admit(request.headers(), deadline).await?;
-        let request = for_upstream(request, &announced, deadline);
+        let request = for_upstream(request, &announced, &*self.dialect, deadline);
+        let id = request.headers().get(self.dialect.id()).cloned();
         note(&mut claim, Some(Fate::Unknown));
         let started = Instant::now();
+        let until = deadline + ANSWER_SLACK;
         let kept = announced.connections.min(announced.slots) as usize;
         let sent = self
             .connections
-            .send(announced.address, kept, request, deadline)
+            .send(announced.address, kept, request, until)
             .await;
+        let sent = sent.and_then(|sent| self.judge(sent, id.as_ref(), &announced));
         let (mut response, in_use) = match sent {
             Ok(sent) => sent,
             Err(refusal) => {
                 if refusal.outcome == Outcome::NotRun {
                     note(&mut claim, None);
                 }
-                if refusal.kind == RefusalKind::Deadline {
-                    running.slot.observe(started.elapsed(), Reply::Late);
+                match refusal.kind {
+                    RefusalKind::Deadline => running.slot.observe(started.elapsed(), Reply::Late),
+                    RefusalKind::Rejected => {
+                        running.slot.observe(started.elapsed(), Reply::Refused);
+                    }
+                    _ => {}
                 }
                 return Err(refusal);
             }
@@ -132,7 +155,28 @@
             _in_use: in_use,
             _running: running,
         };
-        Ok(response.map(|body| timed(Holding::wrap(boxed(body), held), deadline)))
+        Ok(response.map(|body| timed(Holding::wrap(boxed(body), held), until)))
+    }
+
+    /// Refuses an upstream's answer that is none to the request; its connection is not used again
+    /// after one that belongs to another request.
+    fn judge(
+        &self,
+        (response, mut in_use): (Response<Incoming>, InUse),
+        id: Option<&HeaderValue>,
+        announced: &Announcement,
+    ) -> Result<(Response<Incoming>, InUse), Refusal> {
+        let (parts, body) = response.into_parts();
+        let judgement = self.dialect.judge(id, &parts);
+        let Some(refusal) = judgement.refusal() else {
+            return Ok((Response::from_parts(parts, body), in_use));
+        };
+        match judgement {
+            Judgement::Misdirected => self.backend.forget(announced.instance.as_ref()),
+            Judgement::Foreign(_) => in_use.discard(),
+            Judgement::Answer | Judgement::Rejected => {}
+        }
+        Err(refusal)
     }
 
     fn check_key(&self, headers: &HeaderMap) -> Result<(), Refusal> {
@@ -179,12 +223,15 @@
         let mut announced = self.check_backend(headers)?;
         self.admission
             .resize(announced.slots.min(announced.connections));
-        let entered = self.admission.enter(priority(headers), deadline);
+        let wait = !headers.contains_key(NO_WAIT);
+        let entered = self.admission.enter(priority(headers), deadline, wait);
         let mut entered = std::pin::pin!(entered);
         let slot = loop {
             tokio::select! {
                 biased;
-                slot = &mut entered => break slot.map_err(shed)?,
+                slot = &mut entered => {
+                    break slot.map_err(|shed| self.refuse(shed))?;
+                },
                 // An upstream that begins to drain takes none of those that wait.
                 () = self.backend.changed(Some(&announced)) => {
                     announced = self.check_backend(headers)?;
@@ -201,6 +248,17 @@
     }
 }
 
+impl Gate {
+    /// Describes a call that was not admitted, with the time in which the queue will have drained.
+    fn refuse(&self, shed: Shed) -> Refusal {
+        let message = match shed {
+            Shed::Full => "the upstream's slots and queue are full; try again later",
+            Shed::Deadline => "the upstream has no slot free before the deadline; try again later",
+        };
+        Refusal::not_run(RefusalKind::Overloaded, message).with_pause(self.admission.wait())
+    }
+}
+
 /// Notes what is known of a call that may run only once.
 fn note(claim: &mut Option<Claim>, fate: Option<Fate>) {
     if let Some(claim) = claim {
@@ -221,19 +279,6 @@
     Instant::now() + left
 }
 
-fn shed(shed: Shed) -> Refusal {
-    match shed {
-        Shed::Full => Refusal::not_run(
-            RefusalKind::Overloaded,
-            "the upstream's slots and queue are full; try again later",
-        ),
-        Shed::Deadline => Refusal::not_run(
-            RefusalKind::Overloaded,
-            "the upstream has no slot free before the deadline; try again later",
-        ),
-    }
-}
-
 fn duplicate(known: Entry) -> Refusal {
     match known {
         Entry::Known(Fate::Ran) => Refusal::ran(
@@ -260,17 +305,29 @@
 fn for_upstream(
     request: Request<Body>,
     announced: &Announcement,
+    dialect: &dyn Dialect,
     deadline: Instant,
 ) -> Request<Body> {
     let (mut parts, body) = request.into_parts();
     parts.version = http::Version::HTTP_11;
+    let caller = parts
+        .headers
+        .get(CALLER)
+        .and_then(|name| name.to_str().ok());
+    let caller = caller.and_then(|name| name.parse().ok());
     let kept = [SERVICE, KEY].map(|name| parts.headers.remove(&name).map(|value| (name, value)));
     remove_own(&mut parts.headers);
     parts.headers.extend(kept.into_iter().flatten());
     let left = deadline.saturating_duration_since(Instant::now());
-    parts
-        .headers
-        .insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+    parts.headers.insert(
+        dialect.deadline(),
+        HeaderValue::from(left.as_millis() as u64),
+    );
+    let envelope = Envelope {
+        instance: announced.instance.as_ref(),
+        caller: caller.as_ref(),
+    };
+    dialect.address(&mut parts.headers, &envelope);
     let host = match parts.uri.authority() {
         Some(authority) => HeaderValue::from_str(authority.as_str()),
         None => HeaderValue::from_str(&announced.address.to_string()),
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -30,6 +30,18 @@
 /// Calls that the upstream runs and that wait for it, in percent of its limit.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("sardinestall-load");
 
+/// Service of the VM on which the call began.
+pub(crate) const CALLER: HeaderName = HeaderName::from_static("sardinestall-caller");
+
+/// Marks a try that is refused at once where it would have to wait for a slot.
+pub(crate) const NO_WAIT: HeaderName = HeaderName::from_static("sardinestall-no-wait");
+
+/// Time after which a refused call may come back, in milliseconds.
+pub(crate) const PAUSE: HeaderName = HeaderName::from_static("sardinestall-pause-ms");
+
+/// What a gate says of its refusal.
+pub(crate) const REASON: HeaderName = HeaderName::from_static("sardinestall-reason");
+
 /// Key that the daemons of one fleet share.
 pub(crate) const FLEET_KEY: HeaderName = HeaderName::from_static("sardinestall-fleet-key");
 
--- a/crates/call/src/ingress.rs
+++ b/crates/call/src/ingress.rs
@@ -3,19 +3,19 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
-use model::{DomainName, RegionName, Secret};
-use slog::{Logger, debug};
+use model::{DomainName, RegionName, Secret, ServiceName};
+use slog::{Logger, info};
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 use crate::body::Body;
-use crate::header::REQUEST_ID;
+use crate::dialect::Dialect;
+use crate::intake::Turn;
 use crate::payload::Payload;
 use crate::request::{Call, random_id};
 use crate::serve::{Server, ServerError};
-use crate::tries::Dispatcher;
+use crate::tries::{Dispatcher, Origin};
 use crate::watch::Site;
 use crate::{Metrics, Refusal};
 
@@ -24,24 +24,46 @@
 pub struct Ingress {
     table: Arc<Table>,
     dispatcher: Dispatcher,
+    dialect: Arc<dyn Dialect>,
     metrics: Metrics,
     log: Logger,
 }
 
+/// Where an ingress is and how its callers speak.
+#[derive(Debug)]
+pub struct IngressSettings {
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Region of the VM.
+    pub region: RegionName,
+    /// Service of the VM, which upstreams are told as their caller.
+    pub service: Option<ServiceName>,
+    /// Key that the daemons of the fleet share.
+    pub key: Secret,
+    /// How callers speak.
+    pub dialect: Arc<dyn Dialect>,
+}
+
 impl Ingress {
-    /// Returns the ingress of a daemon in `domain` of `region` that serves `table`.
+    /// Returns the ingress of a daemon that serves `table`.
     pub fn open(
         table: Arc<Table>,
-        domain: DomainName,
-        region: RegionName,
-        key: Secret,
+        settings: IngressSettings,
         metrics: Metrics,
         log: Logger,
     ) -> Arc<Self> {
-        let site = Site { domain, region };
+        let origin = Origin {
+            site: Site {
+                domain: settings.domain,
+                region: settings.region,
+            },
+            service: settings.service,
+            key: settings.key,
+        };
         Arc::new(Self {
             table,
-            dispatcher: Dispatcher::new(site, key, metrics.clone()),
+            dispatcher: Dispatcher::new(origin, metrics.clone()),
+            dialect: settings.dialect,
             metrics,
             log,
         })
@@ -54,25 +76,29 @@
     /// Fails if the listener has no address.
     pub fn spawn(self: &Arc<Self>, listener: TcpListener) -> Result<Server, ServerError> {
         let ingress = Arc::clone(self);
-        Server::spawn(listener, self.log.clone(), move |request| {
+        let table = Arc::clone(&self.table);
+        let limits = move || table.snapshot().limits;
+        Server::spawn(listener, limits, self.log.clone(), move |request| {
             let ingress = Arc::clone(&ingress);
             async move { ingress.answer(request).await }
         })
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Body>) -> Response<Body> {
         let started = Instant::now();
-        let id = request.headers().get(REQUEST_ID);
+        let id = request.headers().get(self.dialect.id());
         let id = id.cloned().unwrap_or_else(random_id);
         let mut response = match self.pass(request, &id, started).await {
             Ok(response) => response,
             Err(refusal) => {
-                debug!(self.log, "call refused"; "request" => ?id, "reason" => %refusal);
+                info!(self.log, "call refused"; "request" => id.to_str().unwrap_or("unprintable"),
+                    "kind" => refusal.kind.as_str(), "outcome" => %refusal.outcome,
+                    "reason" => %refusal);
                 self.metrics.refused(&refusal);
-                refusal.response()
+                refusal.response(&*self.dialect)
             }
         };
-        response.headers_mut().insert(REQUEST_ID, id);
+        response.headers_mut().insert(self.dialect.id(), id);
         let seconds = started.elapsed().as_secs_f64();
         self.metrics
             .duration
@@ -86,12 +112,17 @@
     /// Checks the call and passes it on.
     async fn pass(
         &self,
-        request: Request<Incoming>,
+        request: Request<Body>,
         id: &HeaderValue,
         started: Instant,
     ) -> Result<Response<Body>, Refusal> {
         let (parts, body) = request.into_parts();
-        let call = Call::open(parts, self.table.snapshot(), id, started)?;
+        let turn = parts.extensions.get::<Turn>().cloned();
+        let call = Call::open(parts, self.table.snapshot(), &*self.dialect, id, started)?;
+        if let Some(turn) = turn.filter(|_| !call.idempotent) {
+            // Were an answer before it to close the connection, the caller would send it again.
+            turn.wait().await;
+        }
         let limit = call.route.route.rules.body_limit;
         let payload = Payload::open(body, limit, call.deadline).await?;
         self.dispatcher.send(&call, payload).await
--- a/crates/call/src/outcome.rs
+++ b/crates/call/src/outcome.rs
@@ -1,17 +1,19 @@
 //! Answers that the system itself gives.
 
 use std::fmt;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use serde::Serialize;
 
 use crate::body::{Body, full};
-use crate::header::{KIND, OUTCOME};
+use crate::dialect::Dialect;
+use crate::header::{KIND, OUTCOME, PAUSE, REASON, number};
 
-/// Time after which a refused call is worth another try, in seconds.
-const RETRY_SECONDS: u32 = 1;
+/// Time after which a refused call is worth another try, where the refusal knows no better.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// What became of a call that the system itself answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -69,6 +71,12 @@
     Deadline,
     /// The upstream or its gate could not be connected to.
     Unreachable,
+    /// The upstream itself had no room.
+    Rejected,
+    /// Another upstream has the address.
+    Misdirected,
+    /// The upstream's answer is none to the call.
+    Garbled,
     /// The connection broke while the call was under way.
     Broken,
     /// The request's body is over the route's limit.
@@ -93,6 +101,9 @@
         Self::Overloaded,
         Self::Deadline,
         Self::Unreachable,
+        Self::Rejected,
+        Self::Misdirected,
+        Self::Garbled,
         Self::Broken,
         Self::TooLarge,
         Self::BadRequest,
@@ -111,6 +122,9 @@
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
             Self::Unreachable => "unreachable",
+            Self::Rejected => "rejected",
+            Self::Misdirected => "misdirected",
+            Self::Garbled => "garbled",
             Self::Broken => "broken",
             Self::TooLarge => "too_large",
             Self::BadRequest => "bad_request",
@@ -138,6 +152,8 @@
     pub outcome: Outcome,
     /// What happened, and what to do.
     pub message: String,
+    /// Time after which the caller may come back, where the refusal knows better than the default.
+    pub pause: Option<Duration>,
 }
 
 /// The refusal as the caller reads it.
@@ -155,6 +171,7 @@
             kind,
             outcome: Outcome::NotRun,
             message: message.into(),
+            pause: None,
         }
     }
 
@@ -164,6 +181,7 @@
             kind,
             outcome: Outcome::Unknown,
             message: message.into(),
+            pause: None,
         }
     }
 
@@ -173,6 +191,7 @@
             kind,
             outcome: Outcome::Ran,
             message: message.into(),
+            pause: None,
         }
     }
 
@@ -183,9 +202,13 @@
             RefusalKind::NotReady
             | RefusalKind::NoUpstream
             | RefusalKind::Leaving
+            | RefusalKind::Rejected
+            | RefusalKind::Misdirected
             | RefusalKind::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             RefusalKind::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            RefusalKind::Unreachable | RefusalKind::Broken => StatusCode::BAD_GATEWAY,
+            RefusalKind::Unreachable | RefusalKind::Broken | RefusalKind::Garbled => {
+                StatusCode::BAD_GATEWAY
+            }
             RefusalKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalKind::BadRequest => StatusCode::BAD_REQUEST,
             RefusalKind::Forbidden => StatusCode::FORBIDDEN,
@@ -194,8 +217,14 @@
         }
     }
 
-    /// Returns when a later try can work, in seconds, where it can.
-    const fn retry_after(&self) -> Option<u32> {
+    /// Returns this refusal with the time after which the caller may come back.
+    pub fn with_pause(mut self, pause: Duration) -> Self {
+        self.pause = Some(pause);
+        self
+    }
+
+    /// Returns after how long a later try can work, where it can.
+    pub fn retry_after(&self) -> Option<Duration> {
         match (self.outcome, self.kind) {
             (
                 Outcome::NotRun,
@@ -204,14 +233,55 @@
                 | RefusalKind::Leaving
                 | RefusalKind::Overloaded
                 | RefusalKind::Deadline
+                | RefusalKind::Rejected
+                | RefusalKind::Misdirected
                 | RefusalKind::Unreachable,
-            ) => Some(RETRY_SECONDS),
+            ) => Some(self.pause.unwrap_or(RETRY_PAUSE)),
             _ => None,
         }
     }
 
-    /// Returns the answer.
-    pub(crate) fn response(&self) -> Response<Body> {
+    /// Returns whether a request that ended so has reached the upstream.
+    pub const fn arrived(&self) -> bool {
+        match self.kind {
+            RefusalKind::Rejected | RefusalKind::Misdirected | RefusalKind::Garbled => true,
+            _ => !matches!(self.outcome, Outcome::NotRun),
+        }
+    }
+
+    /// Reads the refusal that another daemon answered with.
+    pub(crate) fn of(response: &Response<impl Sized>) -> Option<Self> {
+        let outcome = Outcome::of(response)?;
+        let kind = RefusalKind::of(response)?;
+        let pause = number(response.headers(), &PAUSE).map(Duration::from_millis);
+        let message = response.headers().get(REASON);
+        let message = message.and_then(|reason| reason.to_str().ok());
+        Some(Self {
+            kind,
+            outcome,
+            message: message.unwrap_or("refused by the upstream's gate").into(),
+            pause,
+        })
+    }
+
+    /// Returns the answer to another daemon, which reads it with [`Refusal::of`].
+    pub(crate) fn to_daemon(&self) -> Response<Body> {
+        let mut response = Response::new(full(Bytes::new()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
+        headers.insert(KIND, HeaderValue::from_static(self.kind.as_str()));
+        if let Some(pause) = self.pause {
+            headers.insert(PAUSE, HeaderValue::from(pause.as_millis() as u64));
+        }
+        if let Ok(reason) = HeaderValue::from_str(&self.message) {
+            headers.insert(REASON, reason);
+        }
+        response
+    }
+
+    /// Returns the answer to a caller.
+    pub(crate) fn response(&self, dialect: &dyn Dialect) -> Response<Body> {
         let page = Page {
             kind: self.kind.as_str(),
             outcome: self.outcome,
@@ -219,13 +289,13 @@
         };
         let json = serde_json::to_vec(&page).unwrap_or_default();
         let mut response = Response::new(full(Bytes::from(json)));
-        *response.status_mut() = self.status();
+        *response.status_mut() = dialect.status(self);
         let headers = response.headers_mut();
         headers.insert(OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
         headers.insert(KIND, HeaderValue::from_static(self.kind.as_str()));
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Some(seconds) = self.retry_after() {
-            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        if let Some(pause) = self.retry_after() {
+            dialect.retry_after(headers, pause);
         }
         response
     }
--- a/crates/call/src/payload.rs
+++ b/crates/call/src/payload.rs
@@ -3,11 +3,10 @@
 use bytes::Bytes;
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use model::Size;
 use tokio::time::{Instant, timeout_at};
 
-use crate::body::{Body, boxed, full};
+use crate::body::{Body, full};
 use crate::bounds::{Overrun, limited};
 use crate::{Refusal, RefusalKind};
 
@@ -28,11 +27,7 @@
     /// # Errors
     ///
     /// Refuses a body that is over `limit`, and a small one that does not come by `deadline`.
-    pub(crate) async fn open(
-        body: Incoming,
-        limit: Size,
-        deadline: Instant,
-    ) -> Result<Self, Refusal> {
+    pub(crate) async fn open(body: Body, limit: Size, deadline: Instant) -> Result<Self, Refusal> {
         let hint = body.size_hint();
         if hint.lower() > limit.get() {
             return Err(too_large(limit));
@@ -44,7 +39,7 @@
             return read_whole(body, deadline).await.map(Self::Whole);
         }
         let overrun = Overrun::default();
-        let body = limited(boxed(body), limit, overrun.clone());
+        let body = limited(body, limit, overrun.clone());
         Ok(Self::Stream(Some(body), overrun))
     }
 
@@ -67,7 +62,7 @@
     }
 }
 
-async fn read_whole(body: Incoming, deadline: Instant) -> Result<Bytes, Refusal> {
+async fn read_whole(body: Body, deadline: Instant) -> Result<Bytes, Refusal> {
     match timeout_at(deadline, body.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) => Err(Refusal::not_run(
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -98,6 +98,20 @@
         calls * 100 / self.limit.get().max(1)
     }
 
+    /// Returns the time until a call that arrives now would run, behind all that wait.
+    pub fn expected_wait(&self) -> Duration {
+        self.wait(self.waiting.len() as u32)
+    }
+
+    /// Takes a slot for a call that does not wait; returns whether one was free.
+    pub fn enter_now(&mut self) -> bool {
+        let free = self.running < self.limit.get() && self.waiting.is_empty();
+        if free {
+            self.running += 1;
+        }
+        free
+    }
+
     /// Decides about a call that arrives; `waiter` is kept if it waits.
     pub fn enter(
         &mut self,
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -6,17 +6,19 @@
 use http::header::{CONTENT_LENGTH, HOST, UPGRADE};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version as HttpVersion};
-use model::{Priority, Secret, Version};
+use model::{Priority, Version};
 use rand::RngExt;
 use table::{PoolTable, RouteTable, Snapshot, Upstream};
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::dialect::Dialect;
 use crate::header::{
-    CALLER_KEY, DEADLINE, FLEET_KEY, KEY, PRIORITY, REQUEST_ID, SERVICE, number, remove_hop,
+    CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, SERVICE, number, remove_hop,
     remove_own,
 };
 use crate::retry::is_idempotent;
+use crate::tries::Origin;
 use crate::{Refusal, RefusalKind};
 
 /// Longest key that a caller may give, in bytes.
@@ -44,6 +46,7 @@
     pub(crate) fn open(
         mut parts: Parts,
         snapshot: Arc<Snapshot>,
+        dialect: &dyn Dialect,
         id: &HeaderValue,
         started: Instant,
     ) -> Result<Self, Refusal> {
@@ -67,12 +70,13 @@
         let idempotent = is_idempotent(rules, &parts.method);
         let key = if idempotent { None } else { Some(key(&parts)?) };
         let mut time = rules.timeout.duration();
-        if let Some(left) = number(&parts.headers, &DEADLINE) {
+        if let Some(left) = number(&parts.headers, &dialect.deadline()) {
             time = time.min(Duration::from_millis(left));
         }
         remove_hop(&mut parts.headers);
         remove_own(&mut parts.headers);
-        parts.headers.insert(REQUEST_ID, id.clone());
+        parts.headers.remove(dialect.deadline());
+        parts.headers.insert(dialect.id(), id.clone());
         if let Some(key) = key {
             parts.headers.insert(KEY, key);
         }
@@ -94,7 +98,8 @@
         &self,
         pool: &PoolTable,
         upstream: &Upstream,
-        key: &Secret,
+        origin: &Origin,
+        wait: bool,
         body: Body,
     ) -> Result<Request<Body>, Refusal> {
         let bad = |_| Refusal::not_run(RefusalKind::BadRequest, "the request cannot be sent on");
@@ -126,8 +131,15 @@
         headers.insert(PRIORITY, HeaderValue::from_static(priority));
         let service = HeaderValue::from_str(pool.service.name.as_str());
         headers.insert(SERVICE, service.map_err(|error| bad(error.into()))?);
-        let key = HeaderValue::from_str(key.expose());
+        let key = HeaderValue::from_str(origin.key.expose());
         headers.insert(FLEET_KEY, key.map_err(|error| bad(error.into()))?);
+        if let Some(caller) = &origin.service {
+            let caller = HeaderValue::from_str(caller.as_str());
+            headers.insert(CALLER, caller.map_err(|error| bad(error.into()))?);
+        }
+        if !wait {
+            headers.insert(NO_WAIT, HeaderValue::from_static("1"));
+        }
         Ok(request)
     }
 }
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -13,22 +13,23 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use model::ConnectionLimits;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Duration, Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Holding};
-
-/// Longest wait for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+use crate::body::{Body, Holding, boxed};
+use crate::dialect::OwnDialect;
+use crate::intake::{Arrival, Driver, Intake, Requests};
+use crate::{Refusal, RefusalKind};
 
 /// Time between two pings on a connection over HTTP/2, and the longest wait for their answer.
 const PING_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Largest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Least size of the buffer for a request's head that the library takes, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
 
 /// Largest list of headers over HTTP/2, in bytes.
 const MAX_HEADER_LIST_BYTES: u32 = 64 << 10;
@@ -82,13 +83,16 @@
 
 impl Server {
     /// Starts to serve HTTP/1.1 and HTTP/2 on `listener` with `answer`.
+    ///
+    /// Each connection keeps to the `limits` of its start.
     pub(crate) fn spawn<F, A>(
         listener: TcpListener,
+        limits: impl Fn() -> ConnectionLimits + Send + Sync + 'static,
         log: Logger,
         answer: F,
     ) -> Result<Self, ServerError>
     where
-        F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+        F: Fn(Request<Body>) -> A + Clone + Send + Sync + 'static,
         A: Future<Output = Response<Body>> + Send + 'static,
     {
         let address = listener.local_addr()?;
@@ -99,6 +103,7 @@
             cut: CancellationToken::new(),
             calls: Calls::default(),
             answer,
+            limits: Box::new(limits),
             log,
         };
         Ok(Self {
@@ -116,6 +121,11 @@
         self.address
     }
 
+    /// Asks callers over HTTP/1.1 to close their kept connections, with each answer from now on.
+    pub fn close_kept(&self) {
+        self.closing.cancel();
+    }
+
     /// Lets callers close their kept connections, takes no new one, lets calls in flight finish for at most `limit`, and returns the
     /// number of calls that were cut.
     pub async fn stop(self, limit: Duration) -> usize {
@@ -139,12 +149,13 @@
     cut: CancellationToken,
     calls: Calls,
     answer: F,
+    limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
     log: Logger,
 }
 
 async fn run<F, A>(listener: TcpListener, stop: CancellationToken, connections: Connections<F>)
 where
-    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    F: Fn(Request<Body>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
@@ -180,11 +191,17 @@
 
 impl<F, A> Connections<F>
 where
-    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    F: Fn(Request<Body>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let requests = Requests::default();
+        let begin = {
+            let answer = self.answer.clone();
+            move |request| tokio::spawn(answer(request))
+        };
+        let intake = Intake::open(stream, requests.clone(), Box::new(begin));
         let answer = self.answer.clone();
         let calls = self.calls.clone();
         let closing = self.closing.clone();
@@ -192,10 +209,17 @@
             let call = calls.enter();
             let closing = closing.clone();
             let is_http1 = request.version() < Version::HTTP_2;
-            let answered = answer(request);
+            let requests = requests.clone();
+            let arrival = match is_http1 {
+                true => requests.arrive(),
+                false => Arrival::Fresh,
+            };
+            let answered = answer_one(&answer, request, arrival);
             async move {
                 let mut response = answered.await;
-                if is_http1 && closing.is_cancelled() {
+                // Requests that were read behind this one are answered before the connection closes.
+                let is_last = !is_http1 || !requests.answered();
+                if is_http1 && is_last && closing.is_cancelled() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -203,15 +227,18 @@
                 Ok::<_, std::convert::Infallible>(counted)
             }
         });
-        let connection = builder()
-            .serve_connection(TokioIo::new(stream), service)
+        let connection = builder(&(self.limits)())
+            .serve_connection(TokioIo::new(intake.clone()), service)
             .into_owned();
-        let connection = self.graceful.watch(connection);
+        let driver = Driver {
+            connection: Box::pin(self.graceful.watch(connection)),
+            intake,
+        };
         let log = self.log.clone();
         let cut = self.cut.clone();
         tokio::spawn(async move {
             let ended = tokio::select! {
-                ended = connection => ended,
+                ended = driver => ended,
                 () = cut.cancelled() => return,
             };
             if let Err(error) = ended {
@@ -221,13 +248,49 @@
     }
 }
 
-fn builder() -> auto::Builder<TokioExecutor> {
+/// Answers the request that the server has come to.
+fn answer_one<F, A>(
+    answer: &F,
+    request: Request<Incoming>,
+    arrival: Arrival,
+) -> impl Future<Output = Response<Body>> + use<F, A>
+where
+    F: Fn(Request<Body>) -> A + Clone,
+    A: Future<Output = Response<Body>>,
+{
+    let answer = answer.clone();
+    async move {
+        match arrival {
+            Arrival::Ambiguous => ambiguous(),
+            Arrival::Fresh => answer(request.map(boxed)).await,
+            Arrival::Early(early) => match early.finish().await {
+                Some(response) => response,
+                // It panicked; the request is safe, so it may run again.
+                None => answer(request.map(boxed)).await,
+            },
+        }
+    }
+}
+
+/// Refuses a request whose body other receivers could take to end elsewhere.
+fn ambiguous() -> Response<Body> {
+    let refusal = Refusal::not_run(
+        RefusalKind::BadRequest,
+        "the body's length is given twice; send Content-Length or Transfer-Encoding, not both",
+    );
+    let mut response = refusal.response(&OwnDialect);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
+fn builder(limits: &ConnectionLimits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .header_read_timeout(limits.head_timeout.duration().max(limits.idle.duration()))
+        .max_buf_size((limits.head.get() as usize).max(MIN_HEAD_BYTES));
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -2,10 +2,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::Response;
+use http_body::Body as _;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use model::{Secret, VmId};
+use model::{Secret, ServiceName};
 use table::{PoolTable, Upstream};
 use tokio::time::{Instant, timeout_at};
 
@@ -16,11 +19,22 @@
 use crate::health::Seen;
 use crate::links::Links;
 use crate::payload::Payload;
+use crate::plan::{Next, Plan};
 use crate::request::Call;
 use crate::retry::may_retry;
 use crate::watch::{Site, Watch};
 use crate::{Metrics, Outcome, Refusal, RefusalKind, choose};
 
+/// Time beyond the deadline in which the gate's word on it is still awaited.
+const ANSWER_SLACK: Duration = Duration::from_millis(200);
+
+/// Largest answer that is read whole before it is passed on, so that a broken one can be tried again,
+/// in bytes.
+const WHOLE_ANSWER: u64 = 64 << 10;
+
+/// Wait that is expected of a full gate that states none.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
+
 /// Counts a call in flight until its answer's end.
 struct InFlight(Arc<Upstream>);
 
@@ -37,60 +51,45 @@
     }
 }
 
-/// How a try ended.
-enum Tried {
-    /// The upstream or its gate answered.
-    Answered(Response<Body>),
-    /// This daemon gave up.
-    Refused(Refusal),
-}
-
-impl Tried {
-    /// Returns the outcome that the system itself states, none for an upstream's answer.
-    fn outcome(&self) -> Option<Outcome> {
-        match self {
-            Self::Answered(response) => Outcome::of(response),
-            Self::Refused(refusal) => Some(refusal.outcome),
-        }
-    }
-
-    fn kind(&self) -> Option<RefusalKind> {
-        match self {
-            Self::Answered(response) => RefusalKind::of(response),
-            Self::Refused(refusal) => Some(refusal.kind),
-        }
-    }
+/// How a try ended: with the upstream's answer, or without.
+type Tried = Result<Response<Body>, Refusal>;
 
-    /// Returns the caller's answer; `unsure` says whether an earlier try may have run.
-    fn into_answer(self, unsure: bool) -> Result<Response<Body>, Refusal> {
-        if unsure && self.outcome() == Some(Outcome::NotRun) {
-            let message = "the last try was refused, but an earlier one may have run";
-            return Err(Refusal::unknown(RefusalKind::Broken, message));
-        }
-        match self {
-            Self::Answered(response) => Ok(response),
-            Self::Refused(refusal) => Err(refusal),
-        }
-    }
+/// Whom a daemon's calls come from.
+#[derive(Debug, Clone)]
+pub(crate) struct Origin {
+    /// Where the daemon is.
+    pub(crate) site: Site,
+    /// Service of the VM, where calls name it.
+    pub(crate) service: Option<ServiceName>,
+    /// Key of the fleet.
+    pub(crate) key: Secret,
 }
 
 /// Sends calls to the gates of upstreams.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
-    site: Site,
-    key: Secret,
+    origin: Origin,
     links: Links,
     watch: Watch,
     budgets: Budgets,
     metrics: Metrics,
 }
 
+/// What is known of a call's tries.
+#[derive(Debug, Default)]
+struct Progress {
+    plan: Plan,
+    /// Tries that reached an upstream.
+    arrivals: u32,
+    /// Whether one of them may have run.
+    unsure: bool,
+}
+
 impl Dispatcher {
-    /// Returns the dispatcher of a daemon at `site`.
-    pub(crate) fn new(site: Site, key: Secret, metrics: Metrics) -> Self {
+    /// Returns the dispatcher of a daemon at `origin`.
+    pub(crate) fn new(origin: Origin, metrics: Metrics) -> Self {
         Self {
-            site,
-            key,
+            origin,
             links: Links::default(),
             watch: Watch::default(),
             budgets: Budgets::default(),
@@ -99,124 +98,173 @@
     }
 
     /// Tries one upstream after the other while the rules and the budget allow it.
-    pub(crate) async fn send(
-        &self,
-        call: &Call,
-        mut payload: Payload,
-    ) -> Result<Response<Body>, Refusal> {
-        let mut tried = Vec::new();
-        let mut last: Option<Tried> = None;
-        let mut unsure = false;
-        loop {
-            let pool = call
-                .snapshot
-                .pool(choose::pool(&call.route, &mut rand::rng()));
-            let (Some(upstream), Some(body)) = (self.choose(pool, &tried), payload.take()) else {
-                return last
-                    .unwrap_or_else(|| Tried::Refused(no_upstream(pool)))
-                    .into_answer(unsure);
+    pub(crate) async fn send(&self, call: &Call, mut payload: Payload) -> Tried {
+        let index = choose::pool(&call.route, &mut rand::rng());
+        let pool = call.snapshot.pool(index);
+        self.budgets.earn(&pool.service);
+        let mut progress = Progress::default();
+        let mut last: Option<Refusal> = None;
+        while let Some((upstream, wait)) = self.choose(pool, &progress.plan) {
+            let wait = wait || !payload.is_replayable();
+            let Some(body) = payload.take() else {
+                break;
             };
-            if last.is_none() {
-                self.budgets.earn(&pool.service);
+            if progress.arrivals > 0 && !self.budgets.spend(&pool.service) {
+                break;
             }
-            tried.push(upstream.vm.clone());
-            let ended = self.try_once(call, pool, upstream, body).await;
+            progress.plan.tried(wait);
+            let ended = self.try_once(call, pool, &upstream, wait, body).await;
+            let refusal = match ended {
+                Ok(response) => return Ok(response),
+                Err(refusal) => refusal,
+            };
             if payload.overran() {
-                return Err(overrun(call, ended.outcome(), unsure));
+                return Err(overrun(call, refusal.outcome, progress.unsure));
             }
-            if !self.may_go_on(call, pool, &payload, &ended, tried.len() as u32) {
-                return ended.into_answer(unsure);
+            self.learn(&mut progress, pool, &upstream, &refusal);
+            let go_on = self.may_go_on(call, &payload, &refusal, progress.arrivals);
+            last = Some(refusal);
+            if !go_on {
+                break;
             }
             let service = pool.service.name.as_str();
             self.metrics.retries.with_label_values(&[service]).inc();
-            unsure |= ended.outcome() != Some(Outcome::NotRun);
-            last = Some(ended);
         }
+        Err(conclude(
+            last.unwrap_or_else(|| no_upstream(pool)),
+            progress.unsure,
+        ))
     }
 
-    /// Returns whether a try is followed by another; takes it from the budget.
-    fn may_go_on(
+    /// Notes what a refused try tells.
+    fn learn(
         &self,
-        call: &Call,
+        progress: &mut Progress,
         pool: &PoolTable,
-        payload: &Payload,
-        ended: &Tried,
-        tries: u32,
-    ) -> bool {
-        let Some(outcome) = ended.outcome() else {
-            return false;
-        };
+        upstream: &Upstream,
+        refusal: &Refusal,
+    ) {
+        if refusal.arrived() {
+            progress.arrivals += 1;
+        } else if progress.arrivals > 0 {
+            self.budgets.refund(&pool.service);
+        }
+        progress.unsure |= refusal.outcome != Outcome::NotRun;
+        let vm = upstream.vm.clone();
+        match refusal.kind {
+            RefusalKind::Overloaded => {
+                let wait = refusal.pause.unwrap_or(UNKNOWN_WAIT);
+                progress.plan.found_full(vm, wait);
+            }
+            _ => progress.plan.spend(vm),
+        }
+    }
+
+    /// Returns whether a refused try may be followed by another.
+    fn may_go_on(&self, call: &Call, payload: &Payload, refusal: &Refusal, arrivals: u32) -> bool {
         let rules = &call.route.route.rules;
         payload.is_replayable()
             && Instant::now() < call.deadline
-            && may_retry(outcome, ended.kind(), call.idempotent, tries, rules)
-            && self.budgets.spend(&pool.service)
+            && may_retry(refusal, call.idempotent, arrivals, rules)
     }
 
-    fn choose(&self, pool: &PoolTable, tried: &[VmId]) -> Option<Arc<Upstream>> {
+    fn choose(&self, pool: &PoolTable, plan: &Plan) -> Option<(Arc<Upstream>, bool)> {
         let slow_start = pool.service.slow_start;
         let candidates = self
             .watch
-            .candidates(&pool.upstreams, &self.site, slow_start, tried);
-        let chosen = choose::upstream(&candidates, &mut rand::rng())?;
-        let upstream = Arc::clone(&pool.upstreams[chosen]);
+            .candidates(&pool.upstreams, &self.origin.site, slow_start);
+        let vms: Vec<_> = pool.upstreams.iter().map(|upstream| &upstream.vm).collect();
+        let Next::Try { index, wait } = plan.next(&vms, &candidates, &mut rand::rng()) else {
+            return None;
+        };
+        let upstream = Arc::clone(&pool.upstreams[index]);
         self.watch.called(&upstream);
-        Some(upstream)
+        Some((upstream, wait))
     }
 
     async fn try_once(
         &self,
         call: &Call,
         pool: &PoolTable,
-        upstream: Arc<Upstream>,
+        upstream: &Arc<Upstream>,
+        wait: bool,
         body: Body,
     ) -> Tried {
-        let request = match call.for_gate(pool, &upstream, &self.key, body) {
-            Ok(request) => request,
-            Err(refusal) => return Tried::Refused(refusal),
-        };
+        let request = call.for_gate(pool, upstream, &self.origin, wait, body)?;
         let started = Instant::now();
-        let in_flight = InFlight::new(Arc::clone(&upstream));
+        let until = call.deadline + ANSWER_SLACK;
+        let in_flight = InFlight::new(Arc::clone(upstream));
         let sent = self.links.send(upstream.gate, request);
-        let answered = timeout_at(call.deadline, sent).await.unwrap_or_else(|_| {
-            let message = "no answer came before the deadline; the call may have run";
-            Err(Refusal::unknown(RefusalKind::Deadline, message))
-        });
-        let seen = seen(&answered, started);
+        let answered = timeout_at(until, sent)
+            .await
+            .unwrap_or_else(|_| Err(late()));
         let load = answered
             .as_ref()
             .ok()
             .and_then(|response| number(response.headers(), &LOAD));
-        self.watch.observe(&pool.upstreams, &upstream, seen, load);
-        match answered {
-            Ok(mut response) => {
-                response.headers_mut().remove(LOAD);
-                let deadline = call.deadline;
-                let wrap = |body| timed(Holding::wrap(boxed(body), in_flight), deadline);
-                Tried::Answered(response.map(wrap))
-            }
-            Err(refusal) => Tried::Refused(refusal),
+        let mut tried = match answered {
+            Ok(response) => match Refusal::of(&response) {
+                Some(refusal) => Err(refusal),
+                None => whole(response, until, in_flight).await,
+            },
+            Err(refusal) => Err(refusal),
+        };
+        let seen = seen(&tried, started);
+        self.watch.observe(&pool.upstreams, upstream, seen, load);
+        if let Ok(response) = &mut tried {
+            response.headers_mut().remove(LOAD);
         }
+        tried
     }
 }
 
-/// Returns what a try tells of its upstream.
-fn seen(answered: &Result<Response<Incoming>, Refusal>, started: Instant) -> Seen {
-    let kind = match answered {
-        Ok(response) => RefusalKind::of(response),
-        Err(refusal) => Some(refusal.kind),
-    };
-    let failed = answered
-        .as_ref()
-        .is_ok_and(|response| response.status().is_server_error());
-    match kind {
-        Some(RefusalKind::Overloaded) => Seen::Full,
-        Some(RefusalKind::Leaving) => Seen::Leaving,
-        Some(RefusalKind::Deadline | RefusalKind::Unreachable | RefusalKind::Broken) => {
-            Seen::Failed
+/// Reads a small answer whole; a larger one streams through.
+async fn whole(response: Response<Incoming>, until: Instant, in_flight: InFlight) -> Tried {
+    let size = response.body().size_hint().exact();
+    if size.is_none_or(|size| size > WHOLE_ANSWER) {
+        return Ok(response.map(|body| timed(Holding::wrap(boxed(body), in_flight), until)));
+    }
+    let (parts, body) = response.into_parts();
+    match timeout_at(until, body.collect()).await {
+        Ok(Ok(body)) => Ok(Response::from_parts(parts, boxed(body))),
+        Ok(Err(error)) => {
+            let message = format!("the upstream's answer broke off ({error}); the call has run");
+            Err(Refusal::unknown(RefusalKind::Broken, message))
         }
-        None if failed => Seen::Failed,
-        _ => Seen::Good(started.elapsed()),
+        Err(_) => Err(late()),
+    }
+}
+
+fn late() -> Refusal {
+    let message = "no answer came before the deadline; the call may have run";
+    Refusal::unknown(RefusalKind::Deadline, message)
+}
+
+/// Returns the last word on a call; `unsure` says whether one of its tries may have run.
+fn conclude(refusal: Refusal, unsure: bool) -> Refusal {
+    if unsure && refusal.outcome == Outcome::NotRun {
+        let message = "the last try was refused, but an earlier one may have run";
+        return Refusal::unknown(RefusalKind::Broken, message);
+    }
+    refusal
+}
+
+/// Returns what a try tells of its upstream.
+fn seen(tried: &Tried, started: Instant) -> Seen {
+    match tried {
+        Ok(response) if response.status().is_server_error() => Seen::Failed,
+        Ok(_) => Seen::Good(started.elapsed()),
+        Err(refusal) => match refusal.kind {
+            RefusalKind::Overloaded => Seen::Full,
+            RefusalKind::Leaving => Seen::Leaving,
+            RefusalKind::Deadline
+            | RefusalKind::Unreachable
+            | RefusalKind::Rejected
+            | RefusalKind::Misdirected
+            | RefusalKind::Garbled
+            | RefusalKind::Broken => Seen::Failed,
+            _ => Seen::Good(started.elapsed()),
+        },
     }
 }
 
@@ -232,11 +280,11 @@
 
 /// Describes a call whose body went over the limit on its way; `unsure` says whether an earlier
 /// try may have run.
-fn overrun(call: &Call, outcome: Option<Outcome>, unsure: bool) -> Refusal {
+fn overrun(call: &Call, outcome: Outcome, unsure: bool) -> Refusal {
     let limit = call.route.route.rules.body_limit;
     let message = format!("the body went over the route's limit of {limit}; send less");
     match outcome {
-        Some(Outcome::NotRun) if !unsure => Refusal::not_run(RefusalKind::TooLarge, message),
+        Outcome::NotRun if !unsure => Refusal::not_run(RefusalKind::TooLarge, message),
         _ => Refusal::unknown(RefusalKind::TooLarge, message),
     }
 }
--- a/crates/call/src/watch.rs
+++ b/crates/call/src/watch.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use model::{DomainName, Millis, RegionName, VmId};
+use model::{DomainName, Millis, RegionName};
 use table::Upstream;
 use tokio::time::Instant;
 
@@ -38,7 +38,6 @@
         upstreams: &[Arc<Upstream>],
         site: &Site,
         slow_start: Millis,
-        tried: &[VmId],
     ) -> Vec<Candidate> {
         let now = Instant::now();
         let healths = self.lock();
@@ -51,7 +50,7 @@
                 load: own.max(health.map_or(0.0, |health| health.load(now))),
                 weight: weight(upstream, slow_start, now),
                 standing: health.map_or(Standing::Open, |health| health.standing(now)),
-                tried: tried.contains(&upstream.vm),
+                tried: false,
             }
         };
         upstreams.iter().map(describe).collect()
--- a/crates/call/tests/backend.rs
+++ b/crates/call/tests/backend.rs
@@ -11,6 +11,8 @@
         connections: 110,
         state: Readiness::Ready,
         start: Incarnation::new(1),
+        instance: None,
+        sequence: 0,
     }
 }
 
--- a/crates/call/tests/bad_input.rs
+++ b/crates/call/tests/bad_input.rs
@@ -88,12 +88,20 @@
             "400",
         ),
         (
-            "a length that the chunks override",
+            "a length beside chunks",
             request(
                 "content-length: 3\r\ntransfer-encoding: chunked\r\n",
                 "0\r\n\r\n",
             ),
-            "200",
+            "400",
+        ),
+        (
+            "chunks beside a length",
+            request(
+                "transfer-encoding: chunked\r\ncontent-length: 3\r\n",
+                "0\r\n\r\n",
+            ),
+            "400",
         ),
         (
             "an unknown coding",
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -9,7 +9,7 @@
 use call::limit::{Limit, Reply, Sample};
 use call::queue::{Entry, Queue, Shed};
 use call::retry::{is_idempotent, may_retry};
-use call::{Outcome, RefusalKind};
+use call::{Outcome, Refusal, RefusalKind};
 use http::Method;
 use model::{Priority, Rules};
 use rand::SeedableRng;
@@ -342,15 +342,23 @@
 #[test]
 fn only_what_was_not_run_is_repeated_where_it_may_run_once() {
     let rules = Rules::default();
-    let retry = |outcome, kind, idempotent| may_retry(outcome, Some(kind), idempotent, 1, &rules);
+    let after = |outcome, kind, idempotent, arrivals| {
+        let refusal = Refusal {
+            kind,
+            outcome,
+            message: String::new(),
+            pause: None,
+        };
+        may_retry(&refusal, idempotent, arrivals, &rules)
+    };
+    let retry = |outcome, kind, idempotent| after(outcome, kind, idempotent, 1);
     assert!(retry(Outcome::NotRun, RefusalKind::Leaving, false));
     assert!(!retry(Outcome::Unknown, RefusalKind::Broken, false));
     assert!(retry(Outcome::Unknown, RefusalKind::Broken, true));
     assert!(!retry(Outcome::Ran, RefusalKind::Duplicate, true));
     assert!(!retry(Outcome::NotRun, RefusalKind::TooLarge, true));
     let last = rules.retries + 1;
-    let kind = Some(RefusalKind::Leaving);
-    assert!(!may_retry(Outcome::NotRun, kind, true, last, &rules));
+    assert!(!after(Outcome::NotRun, RefusalKind::Leaving, true, last));
 }
 
 #[test]
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -8,7 +8,9 @@
 
 use axum::Router;
 use bytes::Bytes;
-use call::{Announcement, Backend, Gate, Ingress, Metrics, Readiness, Server};
+use call::{
+    Announcement, Backend, Gate, Ingress, IngressSettings, Metrics, OwnDialect, Readiness, Server,
+};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -75,15 +77,26 @@
             connections: 110,
             state: Readiness::Ready,
             start: Default::default(),
+            instance: None,
+            sequence: 0,
         };
         backend.announce(announcement.clone());
         let key = Secret::new("fleet");
-        let gate = Gate::open(Arc::clone(&backend), key.clone(), metrics.clone());
+        let gate = Gate::open(
+            Arc::clone(&backend),
+            key.clone(),
+            Arc::new(OwnDialect),
+            metrics.clone(),
+        );
         let ingress = Ingress::open(
             Arc::clone(&table),
-            "morava-a".parse().expect("a valid name"),
-            "cz-morava".parse().expect("a valid name"),
-            key,
+            IngressSettings {
+                domain: "morava-a".parse().expect("a valid name"),
+                region: "cz-morava".parse().expect("a valid name"),
+                service: None,
+                key,
+                dialect: Arc::new(OwnDialect),
+            },
             metrics,
             log(),
         );
--- a/crates/daemon/src/counted.rs
+++ b/crates/daemon/src/counted.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use prometheus::{IntCounterVec, Opts, Registry};
-use store::{Changes, Entry, Error, Expect, LeaseId, Put, Revision, Store};
+use store::{Changes, Entry, Error, Expect, LeaseId, Put, Revision, Scan, Store};
 
 /// Passes calls on to another store and counts them by operation and result.
 #[derive(Debug)]
@@ -58,6 +58,11 @@
         self.count("list", result)
     }
 
+    async fn scan(&self, prefix: &str) -> Result<Scan, Error> {
+        let result = self.store.scan(prefix).await;
+        self.count("scan", result)
+    }
+
     async fn put(
         &self,
         key: &str,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use admin::{Api, HttpServer, Operator, Operators};
-use call::{Announcement, Backend, Gate, Ingress, Metrics, Readiness, Server};
+use call::{
+    Announcement, Backend, Gate, Ingress, IngressSettings, Metrics, OwnDialect, Readiness, Server,
+};
 use ledger::Ledger;
 use member::{Members, Record, UpstreamState};
 use model::{Incarnation, UnixMillis};
@@ -65,16 +67,18 @@
 }
 
 /// Listeners of a daemon, bound before anything else starts.
-struct Listeners {
-    caller: TcpListener,
-    gate: TcpListener,
-    fleet: TcpListener,
-    admin: TcpListener,
-    announce: TcpListener,
+pub(crate) struct Listeners {
+    pub(crate) caller: TcpListener,
+    pub(crate) gate: TcpListener,
+    pub(crate) fleet: TcpListener,
+    pub(crate) admin: TcpListener,
+    pub(crate) announce: TcpListener,
+    /// Bound only where the settings name an address for it.
+    pub(crate) ready: Option<TcpListener>,
 }
 
 impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, SpawnError> {
+    pub(crate) async fn bind(settings: &Settings) -> Result<Self, SpawnError> {
         let listen = &settings.listen;
         Ok(Self {
             caller: bind("caller", listen.caller).await?,
@@ -82,10 +86,14 @@
             fleet: bind("fleet", listen.fleet).await?,
             admin: bind("admin", listen.admin).await?,
             announce: bind("announce", listen.announce).await?,
+            ready: match listen.ready {
+                Some(ready) => Some(bind("ready", ready).await?),
+                None => None,
+            },
         })
     }
 
-    fn addresses(&self) -> Result<Addresses, SpawnError> {
+    pub(crate) fn addresses(&self) -> Result<Addresses, SpawnError> {
         Ok(Addresses {
             caller: self.caller.local_addr()?,
             gate: self.gate.local_addr()?,
@@ -162,12 +170,22 @@
         )?);
         node.register(&registry)?;
         let key = settings.fleet.key.clone();
-        let gate = Gate::open(Arc::clone(&backend), key.clone(), metrics.clone());
+        let dialect = Arc::new(OwnDialect);
+        let gate = Gate::open(
+            Arc::clone(&backend),
+            key.clone(),
+            dialect.clone(),
+            metrics.clone(),
+        );
         let ingress = Ingress::open(
             Arc::clone(&table),
-            settings.vm.failure_domain.clone(),
-            settings.vm.region.clone(),
-            key,
+            IngressSettings {
+                domain: settings.vm.failure_domain.clone(),
+                region: settings.vm.region.clone(),
+                service: settings.vm.service.clone(),
+                key,
+                dialect,
+            },
             metrics,
             log.clone(),
         );
@@ -236,10 +254,15 @@
 }
 
 /// Writes the upstream's state to the membership whenever it changes.
-async fn watch_backend(backend: Arc<Backend>, table: Arc<Table>) {
+pub(crate) async fn watch_backend(backend: Arc<Backend>, table: Arc<Table>) {
     loop {
         let announced = backend.current();
-        table.announce(|record| describe(record, announced.as_ref()));
+        let mut record = table.members().own();
+        describe(&mut record, announced.as_ref());
+        // Most announcements are heartbeats, which change nothing that others need to know.
+        if record != table.members().own() {
+            table.announce(|record| describe(record, announced.as_ref()));
+        }
         backend.changed(announced.as_ref()).await;
     }
 }
@@ -259,7 +282,7 @@
     };
 }
 
-fn own_record(settings: &Settings, addresses: &Addresses) -> Record {
+pub(crate) fn own_record(settings: &Settings, addresses: &Addresses) -> Record {
     Record {
         vm: settings.vm.id.clone(),
         incarnation: Incarnation::new(UnixMillis::now().get()),
--- /dev/null
+++ b/crates/daemon/src/direct.rs
@@ -0,0 +1,183 @@
+//! The running daemon of a fleet in which every daemon follows the store on its own.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use call::{Backend, Dialect, Gate, Ingress, IngressSettings, Metrics, Server};
+use follow::{ConfigFormat, Follower};
+use member::{Members, UpstreamState};
+use model::Millis;
+use prometheus::Registry;
+use slog::{Logger, info, o};
+use store::Store;
+use table::Table;
+use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::{Instant, sleep};
+
+use crate::counted::CountedStore;
+use crate::daemon::{Addresses, Listeners, own_record, watch_backend};
+use crate::{Settings, SpawnError, StopReport};
+
+/// Time after the signal in which callers hear that the daemon is not ready and go elsewhere. They
+/// ask once a second and leave after two misses.
+const CALLERS_LEAVE: Duration = Duration::from_millis(2_200);
+
+/// Time that the other daemons need to hear that this one left.
+const DAEMONS_LEAVE: Duration = Duration::from_millis(600);
+
+/// Answers whether a daemon takes new callers.
+pub type ReadyCheck = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// What a daemon shows to the platform that it runs on.
+pub trait Front: fmt::Debug + Send + Sync {
+    /// Starts to take the announcements of the upstream beside the daemon.
+    fn serve_announcements(
+        &self,
+        listener: TcpListener,
+        backend: Arc<Backend>,
+        log: Logger,
+    ) -> AbortHandle;
+
+    /// Starts to answer whether the daemon takes new callers.
+    fn serve_readiness(&self, listener: TcpListener, ready: ReadyCheck) -> AbortHandle;
+}
+
+/// The adapters to the platform that a daemon runs on.
+#[derive(Debug, Clone)]
+pub struct Ports {
+    /// Key-value service.
+    pub store: Arc<dyn Store>,
+    /// Format of the configuration in it.
+    pub format: Arc<dyn ConfigFormat>,
+    /// How callers and upstreams speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// What the daemon shows to the platform.
+    pub front: Arc<dyn Front>,
+}
+
+/// A running daemon that follows the store on its own.
+#[derive(Debug)]
+pub struct DirectDaemon {
+    addresses: Addresses,
+    stop_limit: Millis,
+    table: Arc<Table>,
+    follower: Arc<Follower>,
+    stopping: Arc<AtomicBool>,
+    ingress: Server,
+    gate: Server,
+    tasks: Vec<AbortHandle>,
+    watcher: JoinHandle<()>,
+    log: Logger,
+}
+
+impl DirectDaemon {
+    /// Starts a daemon on the platform behind `ports`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is in use; the error names the key and the remedy.
+    pub async fn spawn(settings: Settings, ports: Ports, log: Logger) -> Result<Self, SpawnError> {
+        let log = log.new(o!("vm" => settings.vm.id.to_string()));
+        let listeners = Listeners::bind(&settings).await?;
+        let addresses = listeners.addresses()?;
+        let registry = Registry::new();
+        let metrics = Metrics::open(&registry)?;
+        let store: Arc<dyn Store> = Arc::new(CountedStore::open(ports.store, &registry)?);
+        let members = Arc::new(Members::open(own_record(&settings, &addresses)));
+        let table = Arc::new(Table::open(members));
+        let backend = Backend::open(settings.upstream.silence);
+        let follower = Follower::spawn(
+            follow::Settings {
+                key: settings.fleet.key.clone(),
+                lease: settings.store.lease,
+                exchange: settings.fleet.compare,
+            },
+            listeners.fleet,
+            Arc::clone(&table),
+            store,
+            ports.format,
+            log.clone(),
+        )?;
+        let follower = Arc::new(follower);
+        let gate = Gate::open(
+            Arc::clone(&backend),
+            settings.fleet.key.clone(),
+            Arc::clone(&ports.dialect),
+            metrics.clone(),
+        );
+        let ingress = Ingress::open(
+            Arc::clone(&table),
+            IngressSettings {
+                domain: settings.vm.failure_domain.clone(),
+                region: settings.vm.region.clone(),
+                service: settings.vm.service.clone(),
+                key: settings.fleet.key.clone(),
+                dialect: ports.dialect,
+            },
+            metrics,
+            log.clone(),
+        );
+        let stopping = Arc::new(AtomicBool::new(false));
+        let ready = ready_check(&follower, &stopping);
+        let front = ports.front;
+        let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
+        let mut tasks = vec![front.serve_announcements(listeners.announce, backend, log.clone())];
+        if let Some(listener) = listeners.ready {
+            tasks.push(front.serve_readiness(listener, ready));
+        }
+        tasks.push(admin::spawn_metrics(registry, listeners.admin));
+        info!(log, "daemon started";
+            "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
+            "admin" => %addresses.admin, "announce" => %addresses.announce);
+        Ok(Self {
+            addresses,
+            stop_limit: settings.upstream.stop_limit,
+            ingress: ingress.spawn(listeners.caller)?,
+            gate: gate.spawn(listeners.gate, log.clone())?,
+            table,
+            follower,
+            stopping,
+            tasks,
+            watcher,
+            log,
+        })
+    }
+
+    /// Returns the daemon's addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops as planned: is not ready any more, lets callers and then daemons go elsewhere, and
+    /// finishes the calls in flight.
+    pub async fn stop(self) -> StopReport {
+        let deadline = Instant::now() + self.stop_limit.duration();
+        info!(self.log, "daemon stops"; "limit" => %self.stop_limit);
+        self.stopping.store(true, Ordering::Relaxed);
+        self.ingress.close_kept();
+        sleep(CALLERS_LEAVE.min(self.stop_limit.duration() / 2)).await;
+        self.watcher.abort();
+        self.table
+            .announce(|record| record.state = UpstreamState::Left);
+        self.follower.leave();
+        sleep(DAEMONS_LEAVE.min(self.stop_limit.duration() / 8)).await;
+        let left = || deadline.saturating_duration_since(Instant::now());
+        let (ingress_cut, gate_cut) =
+            tokio::join!(self.ingress.stop(left()), self.gate.stop(left()));
+        for task in self.tasks {
+            task.abort();
+        }
+        let cut = ingress_cut + gate_cut;
+        info!(self.log, "daemon stopped"; "cut" => cut);
+        StopReport { cut }
+    }
+}
+
+fn ready_check(follower: &Arc<Follower>, stopping: &Arc<AtomicBool>) -> ReadyCheck {
+    let follower = Arc::clone(follower);
+    let stopping = Arc::clone(stopping);
+    Arc::new(move || follower.is_ready() && !stopping.load(Ordering::Relaxed))
+}
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -59,6 +59,9 @@
     /// The distribution did not start.
     #[error(transparent)]
     Spread(#[from] spread::SpawnError),
+    /// Following the store did not start.
+    #[error(transparent)]
+    Follow(#[from] follow::SpawnError),
     /// A metric is registered twice.
     #[error("metrics cannot be registered ({0}); this is a defect, report it")]
     Metrics(#[from] prometheus::Error),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod counted;
 mod daemon;
+mod direct;
 mod error;
 mod settings;
 
 pub use daemon::{Addresses, Daemon, StopReport};
+pub use direct::{DirectDaemon, Front, Ports, ReadyCheck};
 pub use error::{SettingsError, SpawnError};
 pub use settings::{
     FleetSettings, ListenSettings, LogFormat, LogLevel, LogSettings, OperatorSettings, Settings,
-    SettingsProblem, StoreSettings, UpstreamSettings, VmSettings,
+    SettingsProblem, StoreProtocol, StoreSettings, UpstreamSettings, VmSettings,
 };
--- a/crates/daemon/src/settings/fleet.rs
+++ b/crates/daemon/src/settings/fleet.rs
@@ -40,6 +40,13 @@
     /// Mean time between two comparisons with a random peer.
     #[serde(default = "FleetSettings::default_compare")]
     pub compare: Millis,
+    /// Retries that a service's calls may take, in percent of the calls, where the store's
+    /// configuration does not say.
+    #[serde(default = "FleetSettings::default_retry_percent")]
+    pub retry_percent: u32,
+    /// Retries that all daemons together may take at once beside that, for each service.
+    #[serde(default = "FleetSettings::default_retry_slack")]
+    pub retry_slack: u32,
 }
 
 impl FleetSettings {
@@ -56,6 +63,8 @@
             silence: Self::default_silence(),
             grace: Self::default_grace(),
             compare: Self::default_compare(),
+            retry_percent: Self::default_retry_percent(),
+            retry_slack: Self::default_retry_slack(),
         }
     }
 
@@ -87,6 +96,14 @@
         Millis::new(2_000)
     }
 
+    const fn default_retry_percent() -> u32 {
+        20
+    }
+
+    const fn default_retry_slack() -> u32 {
+        50
+    }
+
     const fn default_compare() -> Millis {
         Millis::new(10_000)
     }
--- a/crates/daemon/src/settings/listen.rs
+++ b/crates/daemon/src/settings/listen.rs
@@ -18,6 +18,8 @@
     pub admin: SocketAddr,
     /// Announcements of the upstream beside this daemon.
     pub announce: SocketAddr,
+    /// Readiness, where the platform asks for it at an address of its own.
+    pub ready: Option<SocketAddr>,
     /// Address at which others reach the gate, where it is not the one listened on.
     pub advertise_gate: Option<SocketAddr>,
     /// Address at which others reach the fleet port, where it is not the one listened on.
@@ -36,6 +38,7 @@
             fleet: local(7402),
             admin: local(7403),
             announce: local(7404),
+            ready: None,
             advertise_gate: None,
             advertise_fleet: None,
         }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -17,7 +17,7 @@
 pub use listen::ListenSettings;
 pub use log::{LogFormat, LogLevel, LogSettings};
 pub use operator::OperatorSettings;
-pub use store::StoreSettings;
+pub use store::{StoreProtocol, StoreSettings};
 pub use upstream::UpstreamSettings;
 pub use vm::VmSettings;
 
--- a/crates/daemon/src/settings/store.rs
+++ b/crates/daemon/src/settings/store.rs
@@ -2,12 +2,48 @@
 
 use std::net::SocketAddr;
 
+use model::Millis;
 use serde::Deserialize;
 
+/// How the key-value service is spoken to, and how the fleet is organised on it.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreProtocol {
+    /// gRPC. The store holds the chain of accepted versions, which relays hand on.
+    Grpc,
+    /// The platform's HTTP. The store holds the newest configuration, which every daemon watches.
+    Platform,
+}
+
 /// The platform's key-value service.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Address.
     pub address: SocketAddr,
+    /// Protocol.
+    #[serde(default = "StoreSettings::default_protocol")]
+    pub protocol: StoreProtocol,
+    /// Time that this daemon's membership record lives in the store without renewal.
+    #[serde(default = "StoreSettings::default_lease")]
+    pub lease: Millis,
+}
+
+impl StoreSettings {
+    /// Returns the settings of a service that speaks gRPC at `address`.
+    pub fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            protocol: Self::default_protocol(),
+            lease: Self::default_lease(),
+        }
+    }
+
+    const fn default_protocol() -> StoreProtocol {
+        StoreProtocol::Grpc
+    }
+
+    const fn default_lease() -> Millis {
+        Millis::new(8_000)
+    }
 }
--- a/crates/daemon/src/settings/vm.rs
+++ b/crates/daemon/src/settings/vm.rs
@@ -1,6 +1,6 @@
 //! Section `vm`.
 
-use model::{DomainName, RegionName, VmId};
+use model::{DomainName, RegionName, ServiceName, VmId};
 use serde::Deserialize;
 
 /// The VM that the daemon runs on.
@@ -13,4 +13,7 @@
     pub failure_domain: DomainName,
     /// Region.
     pub region: RegionName,
+    /// Service of the upstream, which calls that begin on the VM name as their caller.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -65,6 +65,7 @@
             id: vm.parse().expect("an id"),
             failure_domain: "morava-a".parse().expect("a name"),
             region: "cz-morava".parse().expect("a name"),
+            service: None,
         },
         listen: ListenSettings {
             caller: free,
@@ -75,7 +76,7 @@
             ..ListenSettings::default()
         },
         fleet: FleetSettings::with_key(Secret::new(KEY)),
-        store: StoreSettings { address: free },
+        store: StoreSettings::at(free),
         upstream: UpstreamSettings::default(),
         log: LogSettings::default(),
         operators: vec![
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -14,6 +14,8 @@
 const EXAMPLES: &[&str] = &[
     "advertise_gate",
     "advertise_fleet",
+    "ready = ",
+    "service",
     "name",
     "teams",
     "token_hash",
@@ -119,8 +121,8 @@
     refused(
         &fleet("colour = 1"),
         expect![[r#"
-        settings `daemon.toml` cannot be used; mend each:
-        `fleet.colour`: unknown field `colour`, expected one of `key`, `key_file`, `seeds`, `fanout`, `relays`, `lease`, `beacon`, `silence`, `grace`, `compare` (line 8); `sardinestall settings` prints every key"#]],
+            settings `daemon.toml` cannot be used; mend each:
+            `fleet.colour`: unknown field `colour`, expected one of `key`, `key_file`, `seeds`, `fanout`, `relays`, `lease`, `beacon`, `silence`, `grace`, `compare`, `retry_percent`, `retry_slack` (line 8); `sardinestall settings` prints every key"#]],
     );
     refused(
         &fleet("lease = \"6 seconds\""),
--- /dev/null
+++ b/crates/follow/src/format.rs
@@ -0,0 +1,36 @@
+//! The port to the format in which the store holds the configuration.
+
+use std::fmt::Debug;
+
+use model::{ConnectionLimits, Item, Version};
+
+/// One whole configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Configuration {
+    /// Version.
+    pub version: Version,
+    /// Services, pools and routes.
+    pub items: Vec<Item>,
+    /// Limits on callers' connections.
+    pub limits: ConnectionLimits,
+}
+
+/// A configuration that cannot be read.
+#[derive(Debug, thiserror::Error, PartialEq)]
+#[error(
+    "the configuration cannot be read ({0}); the one in force stays until a valid one is accepted"
+)]
+pub struct FormatError(pub String);
+
+/// The format of the configuration in the store, and its key there.
+pub trait ConfigFormat: Debug + Send + Sync {
+    /// Returns the key that holds the newest configuration.
+    fn key(&self) -> &str;
+
+    /// Reads a configuration from the key's value.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless the whole value can be read.
+    fn read(&self, value: &[u8]) -> Result<Configuration, FormatError>;
+}
--- /dev/null
+++ b/crates/follow/src/node.rs
@@ -0,0 +1,346 @@
+//! The running distribution of one daemon.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use model::{Millis, Secret, Version};
+use rand::RngExt;
+use slog::{Logger, info, warn};
+use store::{Error, Put, Revision, Store};
+use table::Table;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::config::Installer;
+use crate::keeper::{Keeper, Step};
+use crate::members::{self, Directory};
+use crate::peers::{Exchange, FleetKey};
+use crate::tail::{Read, Tail};
+use crate::{ConfigFormat, SpawnError};
+
+/// Least time between two reads of the configuration while it changes. Accepted versions are to be in
+/// force within 2 s.
+const CONFIG_GAP: Duration = Duration::from_millis(500);
+
+/// Least time between two reads of the records while they change.
+const MEMBERS_GAP: Duration = Duration::from_millis(400);
+
+/// Time between two exchanges with a random peer while the store does not answer.
+const AWAY_EXCHANGE: Duration = Duration::from_millis(500);
+
+/// How a daemon follows the store.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Key that the daemons of the fleet share.
+    pub key: Secret,
+    /// Time that the own record lives in the store without renewal.
+    pub lease: Millis,
+    /// Mean time between two exchanges with a random peer.
+    pub exchange: Millis,
+}
+
+/// The running distribution of one daemon.
+#[derive(Debug)]
+pub struct Follower {
+    shared: Arc<Shared>,
+    tasks: Vec<AbortHandle>,
+}
+
+/// What the tasks of a follower share.
+#[derive(Debug)]
+struct Shared {
+    store: Arc<dyn Store>,
+    installer: Arc<Installer>,
+    directory: Arc<Directory>,
+    /// Whether the records were read once.
+    members_read: AtomicBool,
+    /// Whether the store answered the last call of the keeper.
+    answering: watch::Sender<bool>,
+    /// Ends the keeper, after it wrote that the daemon left.
+    leaving: Notify,
+    log: Logger,
+}
+
+impl Follower {
+    /// Starts to follow `store` for `table`, and to answer peers on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the fleet's key cannot be sent.
+    pub fn spawn(
+        settings: Settings,
+        listener: TcpListener,
+        table: Arc<Table>,
+        store: Arc<dyn Store>,
+        format: Arc<dyn ConfigFormat>,
+        log: Logger,
+    ) -> Result<Self, SpawnError> {
+        let key = FleetKey::new(settings.key.clone()).ok_or(SpawnError::Key)?;
+        let installer = Installer::new(Arc::clone(&format), Arc::clone(&table), log.clone());
+        let shared = Arc::new(Shared {
+            store,
+            installer: Arc::new(installer),
+            directory: Arc::new(Directory::new(table, log.clone())),
+            members_read: AtomicBool::new(false),
+            answering: watch::Sender::new(true),
+            leaving: Notify::new(),
+            log: log.clone(),
+        });
+        let exchange = Exchange {
+            directory: Arc::clone(&shared.directory),
+            installer: Arc::clone(&shared.installer),
+            key,
+            behind: Arc::default(),
+            log,
+        };
+        let lease = settings.lease.duration();
+        let tasks = vec![
+            tokio::spawn(keep(Arc::clone(&shared), lease)).abort_handle(),
+            exchange.serve(listener).abort_handle(),
+            tokio::spawn(follow(Arc::clone(&shared), Topic::Config(format))).abort_handle(),
+            tokio::spawn(follow(Arc::clone(&shared), Topic::Members)).abort_handle(),
+            tokio::spawn(exchange.clone().probe_lapsed()).abort_handle(),
+            tokio::spawn(exchange_on(
+                Arc::clone(&shared),
+                exchange,
+                settings.exchange,
+            ))
+            .abort_handle(),
+        ];
+        Ok(Self { shared, tasks })
+    }
+
+    /// Returns whether a configuration is in force and the membership is known.
+    pub fn is_ready(&self) -> bool {
+        let has_config = self.shared.installer.version() > Version::default();
+        has_config && self.shared.members_read.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the store answers.
+    pub fn is_connected(&self) -> bool {
+        *self.shared.answering.borrow()
+    }
+
+    /// Lets the own record, which says that the daemon left, be written once more, and ends its lease.
+    pub fn leave(&self) {
+        self.shared.leaving.notify_one();
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Shared {
+    /// Notes whether the store answers, and logs each change.
+    fn note(&self, outcome: Result<(), &Error>) {
+        let answers = outcome.is_ok();
+        let changed = self.answering.send_if_modified(|answering| {
+            let changed = *answering != answers;
+            *answering = answers;
+            changed
+        });
+        match outcome {
+            _ if !changed => {}
+            Ok(()) => info!(self.log, "store regained"),
+            Err(error) => warn!(self.log, "store lost"; "error" => %error),
+        }
+    }
+}
+
+/// What is followed in the store.
+#[derive(Debug)]
+enum Topic {
+    Config(Arc<dyn ConfigFormat>),
+    Members,
+}
+
+impl Topic {
+    fn prefix(&self) -> &str {
+        match self {
+            Self::Config(format) => format.key(),
+            Self::Members => members::PREFIX,
+        }
+    }
+
+    const fn gap(&self) -> Duration {
+        match self {
+            Self::Config(_) => CONFIG_GAP,
+            Self::Members => MEMBERS_GAP,
+        }
+    }
+}
+
+/// Follows one topic until the daemon stops.
+async fn follow(shared: Arc<Shared>, topic: Topic) {
+    let mut tail = Tail::new(topic.gap(), Instant::now());
+    let mut answering = shared.answering.subscribe();
+    loop {
+        let (due, read) = tail.next();
+        sleep_until(due).await;
+        answering.mark_unchanged();
+        let result = tokio::select! {
+            result = carry_out(&shared, &topic, read, &mut tail) => result,
+            // A connection may have gone silent under a waiting watch; a new one shows it.
+            () = lost(&mut answering), if matches!(read, Read::Watch { .. }) => {
+                Err(Error::Unavailable("the store does not answer other calls".into()))
+            }
+        };
+        if let Err(error) = result {
+            if !tail.is_failing() || error == Error::Compacted {
+                info!(shared.log, "read of the store failed"; "prefix" => topic.prefix(),
+                    "error" => %error);
+            }
+            tail.failed(&error, rand::rng().random(), Instant::now());
+        }
+    }
+}
+
+/// Waits until the store stops answering.
+async fn lost(answering: &mut watch::Receiver<bool>) {
+    if answering.wait_for(|answering| !answering).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+async fn carry_out(
+    shared: &Shared,
+    topic: &Topic,
+    read: Read,
+    tail: &mut Tail,
+) -> Result<(), Error> {
+    match read {
+        Read::Scan => {
+            let revision = scan(shared, topic).await?;
+            tail.scanned(revision, Instant::now());
+        }
+        Read::Watch { after, wait } => {
+            let changes = shared.store.watch(topic.prefix(), after, wait).await?;
+            let changed = !changes.entries.is_empty() || !changes.deleted.is_empty();
+            match topic {
+                Topic::Config(_) => shared.installer.offer_entries(&changes.entries),
+                Topic::Members => {
+                    shared.directory.deleted(&changes.deleted);
+                    shared.directory.written(&changes.entries);
+                }
+            }
+            tail.watched(changes.revision, changed, Instant::now());
+        }
+    }
+    Ok(())
+}
+
+async fn scan(shared: &Shared, topic: &Topic) -> Result<Revision, Error> {
+    match topic {
+        Topic::Config(_) => shared.installer.scan(&*shared.store).await,
+        Topic::Members => {
+            let scan = shared.store.scan(members::PREFIX).await?;
+            shared.directory.scanned(&scan.entries);
+            shared.members_read.store(true, Ordering::Relaxed);
+            Ok(scan.revision)
+        }
+    }
+}
+
+/// Keeps the own record in the store until the daemon stops.
+async fn keep(shared: Arc<Shared>, ttl: Duration) {
+    let mut keeper = Keeper::new(ttl, Instant::now());
+    let mut own = shared.directory.table().members().subscribe();
+    let mut leaving = false;
+    loop {
+        own.borrow_and_update();
+        let record = shared.directory.table().members().own();
+        let now = Instant::now();
+        let step = keeper.next(record.counter, now);
+        if let Step::Wait(until) = step {
+            if leaving {
+                break;
+            }
+            tokio::select! {
+                () = sleep_until(until) => {}
+                changed = own.changed() => if changed.is_err() { break },
+                () = shared.directory.own_gone.notified() => keeper.lost(),
+                () = shared.leaving.notified() => leaving = true,
+            }
+            continue;
+        }
+        let result = carry_out_step(&shared, &mut keeper, step, &record, now).await;
+        shared.note(result.as_ref().copied());
+        match result {
+            Ok(()) => {}
+            Err(Error::LeaseEnded) => keeper.lost(),
+            Err(error) => {
+                if matches!(error, Error::Unknown(_)) {
+                    keeper.unsettled();
+                }
+                keeper.failed(rand::rng().random(), Instant::now());
+            }
+        }
+    }
+    if let Some(lease) = keeper.lease()
+        && let Err(error) = shared.store.revoke(lease).await
+    {
+        info!(shared.log, "lease not ended"; "error" => %error);
+    }
+}
+
+async fn carry_out_step(
+    shared: &Shared,
+    keeper: &mut Keeper,
+    step: Step,
+    record: &member::Record,
+    asked: Instant,
+) -> Result<(), Error> {
+    let key = members::key(&record.vm);
+    match step {
+        Step::Wait(_) => {}
+        Step::Grant => keeper.granted(shared.store.grant(keeper.ttl()).await?, asked),
+        Step::Read => {
+            let entry = shared.store.get(&key).await?;
+            keeper.settled(entry.as_ref().map(|entry| entry.revision));
+            shared.directory.written(entry.as_slice());
+        }
+        Step::Write { lease, expect } => {
+            let value = members::encode(record);
+            match shared.store.put(&key, value, expect, Some(lease)).await? {
+                Put::Done(revision) => keeper.written(record.counter, revision),
+                Put::Conflict => keeper.unsettled(),
+            }
+        }
+        Step::Renew(lease) => {
+            let alive = shared.store.renew(lease).await?;
+            if !alive {
+                info!(shared.log, "own lease lapsed"; "lease" => lease.0);
+            }
+            keeper.renewed(alive, asked);
+        }
+    }
+    Ok(())
+}
+
+/// Exchanges with random peers: now and then, and often while the store does not answer.
+async fn exchange_on(shared: Arc<Shared>, exchange: Exchange, mean: Millis) {
+    let mut answering = shared.answering.subscribe();
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        let pause = match *answering.borrow_and_update() {
+            true => mean.duration().mul_f64(jitter),
+            false => AWAY_EXCHANGE.mul_f64(jitter),
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = exchange.behind.notified() => {}
+            _ = answering.changed() => {}
+        }
+        if let Some(address) = exchange.random_peer() {
+            exchange.with(address).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/follow/src/peers.rs
@@ -0,0 +1,231 @@
+//! Exchange of versions and records between daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use member::{Buckets, Record};
+use model::{Secret, Version};
+use rand::seq::IndexedRandom;
+use slog::{Logger, debug};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, timeout};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+use wire::fleet::peers_client::PeersClient;
+use wire::fleet::peers_server::{Peers, PeersServer};
+use wire::fleet::{ExchangeReply, ExchangeRequest, Records};
+
+use crate::config::Installer;
+use crate::members::Directory;
+
+/// Longest wait for a peer, connection and answer together.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Largest message, in bytes: a configuration as large as the store's values, and records.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// Records sent in one exchange; the rest waits for the next one.
+const MAX_RECORDS: usize = 2_000;
+
+/// The fleet's key as calls carry it.
+#[derive(Debug, Clone)]
+pub(crate) struct FleetKey {
+    key: Secret,
+    bearer: MetadataValue<Ascii>,
+}
+
+impl FleetKey {
+    /// Returns the key, if a header can carry it.
+    pub(crate) fn new(key: Secret) -> Option<Self> {
+        let bearer = format!("Bearer {}", key.expose()).parse().ok()?;
+        Some(Self { key, bearer })
+    }
+}
+
+/// Refuses calls without the fleet's key.
+#[derive(Debug, Clone)]
+struct KeyCheck(FleetKey);
+
+impl Interceptor for KeyCheck {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
+        let sent = request.metadata().get("authorization");
+        let sent = sent.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+        if sent.is_some_and(|key| self.0.key.matches(key)) {
+            return Ok(request);
+        }
+        Err(Status::unauthenticated(
+            "the caller does not have the fleet's key; set `fleet.key` alike on every daemon",
+        ))
+    }
+}
+
+/// This daemon's side of the exchanges.
+#[derive(Debug, Clone)]
+pub(crate) struct Exchange {
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) installer: Arc<Installer>,
+    pub(crate) key: FleetKey,
+    /// Wakes an exchange when a caller turns out to have a newer version.
+    pub(crate) behind: Arc<Notify>,
+    pub(crate) log: Logger,
+}
+
+#[tonic::async_trait]
+impl Peers for Exchange {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        let request = request.into_inner();
+        let theirs = Version::new(request.version);
+        let members = self.directory.table().members();
+        let differing = Buckets::from_wire(request.digests)
+            .map(|digests| members.buckets().differing(&digests))
+            .unwrap_or_default();
+        let records = members.in_buckets(&differing.into_iter().collect());
+        let raw = self.installer.newer(theirs);
+        if theirs > self.installer.version() {
+            self.behind.notify_one();
+        }
+        if let Some(caller) = request
+            .caller
+            .and_then(|record| Record::try_from(record).ok())
+        {
+            self.directory.merge(vec![caller]);
+        }
+        Ok(Response::new(ExchangeReply {
+            version: self.installer.version().get(),
+            config: raw.map(|raw| raw.value.to_vec()).unwrap_or_default(),
+            records: Some(to_wire(&records)),
+        }))
+    }
+}
+
+fn to_wire(records: &[Record]) -> Records {
+    Records {
+        plain: records.iter().take(MAX_RECORDS).map(Into::into).collect(),
+        packed: Vec::new(),
+    }
+}
+
+impl Exchange {
+    /// Starts to answer exchanges on `listener`.
+    pub(crate) fn serve(&self, listener: TcpListener) -> JoinHandle<()> {
+        let service = PeersServer::new(self.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let service = InterceptedService::new(service, KeyCheck(self.key.clone()));
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            let incoming = TcpListenerStream::new(listener);
+            let served = Server::builder()
+                .add_service(service)
+                .serve_with_incoming(incoming);
+            if let Err(error) = served.await {
+                slog::error!(log, "peers are no longer answered; restart the daemon"; "error" => %error);
+            }
+        })
+    }
+
+    /// Exchanges with the daemon at `address`; returns whether it answered.
+    pub(crate) async fn with(&self, address: SocketAddr) -> bool {
+        match timeout(EXCHANGE_TIMEOUT, self.call(address)).await {
+            Ok(Ok(reply)) => {
+                self.take(address, reply);
+                true
+            }
+            Ok(Err(status)) => {
+                debug!(self.log, "peer not reached"; "peer" => %address, "error" => status.message());
+                false
+            }
+            Err(_) => {
+                debug!(self.log, "peer not reached"; "peer" => %address, "error" => "no answer in time");
+                false
+            }
+        }
+    }
+
+    async fn call(&self, address: SocketAddr) -> Result<ExchangeReply, Status> {
+        let members = self.directory.table().members();
+        let mut request = Request::new(ExchangeRequest {
+            caller: Some((&members.own()).into()),
+            version: self.installer.version().get(),
+            digests: members.buckets().as_slice().to_vec(),
+        });
+        let bearer = self.key.bearer.clone();
+        request.metadata_mut().insert("authorization", bearer);
+        let reply = client(address).await?.exchange(request).await?;
+        Ok(reply.into_inner())
+    }
+
+    fn take(&self, address: SocketAddr, reply: ExchangeReply) {
+        if !reply.config.is_empty() {
+            self.installer.offer(&reply.config, "peer");
+        }
+        let mut records = Vec::new();
+        for record in reply
+            .records
+            .map(|records| records.plain)
+            .unwrap_or_default()
+        {
+            match Record::try_from(record) {
+                Ok(record) => records.push(record),
+                Err(error) => {
+                    debug!(self.log, "record passed over"; "peer" => %address, "error" => %error);
+                }
+            }
+        }
+        self.directory.merge(records);
+    }
+
+    /// Returns the address of a random live peer.
+    pub(crate) fn random_peer(&self) -> Option<SocketAddr> {
+        let members = self.directory.table().members();
+        let peers = members.addresses(Record::is_alive);
+        peers.choose(&mut rand::rng()).copied()
+    }
+
+    /// Probes lapsed members until the daemon stops.
+    pub(crate) async fn probe_lapsed(self) {
+        loop {
+            let (due, next) = self.directory.probes();
+            for record in &due {
+                let answered = self.with(record.fleet).await;
+                self.directory.probed(&record.vm, answered);
+            }
+            if !due.is_empty() {
+                continue;
+            }
+            tokio::select! {
+                () = self.directory.lapsed.notified() => {}
+                () = until(next) => {}
+            }
+        }
+    }
+}
+
+/// Waits until `instant`, for ever if there is none.
+async fn until(instant: Option<tokio::time::Instant>) {
+    match instant {
+        Some(instant) => sleep_until(instant).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Connects to the daemon at `address`. Exchanges are rare, and a connection of its own for each
+/// never meets one that has gone silent.
+async fn client(address: SocketAddr) -> Result<PeersClient<Channel>, Status> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| Status::invalid_argument(error.to_string()))?;
+    let channel = endpoint
+        .tcp_nodelay(true)
+        .connect()
+        .await
+        .map_err(|error| Status::unavailable(error.to_string()))?;
+    Ok(PeersClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES))
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -163,6 +163,8 @@
     Exact(String),
     /// The path itself and everything below it.
     Prefix(String),
+    /// Everything below a directory, which is written with `/` at its end; not the path without it.
+    Directory(String),
 }
 
 /// A header that a call must carry.
@@ -199,6 +201,9 @@
 pub struct Rules {
     /// Time that a call may take, from its arrival to its whole answer.
     pub timeout: Millis,
+    /// Time within which an answer is worth most to its caller; none when absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub objective: Option<Millis>,
     /// Tries after the first one.
     pub retries: u32,
     /// Whether a call may be run more than once; by its HTTP method when absent.
@@ -214,6 +219,7 @@
     fn default() -> Self {
         Self {
             timeout: Millis::new(10_000),
+            objective: None,
             retries: 2,
             idempotent: None,
             priority: Priority::Normal,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 mod config;
 mod digest;
 mod intern;
+mod limits;
 mod name;
 mod parse;
 mod place;
@@ -20,9 +21,10 @@
     Target,
 };
 pub use digest::Digest;
+pub use limits::ConnectionLimits;
 pub use name::{
-    AcceptId, DomainName, NameError, OperatorName, PoolName, RegionName, RouteName, ServiceName,
-    TeamName, VmId,
+    AcceptId, DomainName, InstanceId, NameError, OperatorName, PoolName, RegionName, RouteName,
+    ServiceName, TeamName, VmId,
 };
 pub use parse::parse;
 pub use place::Places;
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -116,3 +116,9 @@
     "accept id",
     Arc::from
 );
+name!(
+    /// Id of one running upstream, as it announces itself.
+    InstanceId,
+    "instance id",
+    Arc::from
+);
--- a/crates/model/src/validate.rs
+++ b/crates/model/src/validate.rs
@@ -106,7 +106,8 @@
             "write `*` for every host",
         );
     }
-    let (PathMatch::Exact(path) | PathMatch::Prefix(path)) = &route.path;
+    let (PathMatch::Exact(path) | PathMatch::Prefix(path) | PathMatch::Directory(path)) =
+        &route.path;
     if !path.starts_with('/') || path.contains(['{', '}', '?', '#']) {
         report(
             "path",
@@ -114,6 +115,13 @@
             "begin with `/`, without `{`, `}`, `?` and `#`",
         );
     }
+    if matches!(route.path, PathMatch::Directory(_)) && !path.ends_with('/') {
+        report(
+            "path",
+            format!("`{path}` is not a directory"),
+            "end it with `/`, or write a `prefix`",
+        );
+    }
     if route.to.is_empty() {
         report("to", "a route needs a target".into(), "name a pool");
     }
--- a/crates/standin/src/kv_server.rs
+++ b/crates/standin/src/kv_server.rs
@@ -176,6 +176,8 @@
         Error::Unavailable(_) => Status::failed_precondition(message),
         Error::Unknown(_) => Status::unknown(message),
         Error::Limited => Status::resource_exhausted(message),
-        Error::TooLarge(_) => Status::failed_precondition(message),
+        Error::TooLarge(_) | Error::LeaseEnded | Error::Compacted => {
+            Status::failed_precondition(message)
+        }
     }
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -233,6 +233,8 @@
                 connections: settings.connections,
                 state,
                 start,
+                instance: None,
+                sequence: 0,
             };
             let json = serde_json::to_vec(&announcement).unwrap_or_default();
             let request = Request::builder()
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -12,6 +12,12 @@
     /// The service refused the call for its rate; nothing was done.
     #[error("the key-value service is over its rate; try again later")]
     Limited,
+    /// The history after the revision asked for is no longer kept.
+    #[error("the key-value service no longer keeps this history; read every key anew")]
+    Compacted,
+    /// The lease that a write names has ended; nothing was done.
+    #[error("the lease has ended; take a new one and write again")]
+    LeaseEnded,
     /// The value is over the service's limit; nothing was done.
     #[error("the value has {0} bytes, over the limit of 1000000; split the change")]
     TooLarge(usize),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,6 +22,9 @@
 /// Size after which a page of [`Store::list`] ends, in bytes.
 pub const MAX_PAGE_BYTES: usize = 4 << 20;
 
+/// Keys that one page of a scan asks for.
+const SCAN_PAGE: u32 = 500;
+
 /// Revision of a key: grows with every write to the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(pub u64);
@@ -61,6 +64,15 @@
     Conflict,
 }
 
+/// Every key under a prefix.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scan {
+    /// Keys with their values. Keys written during the scan may be missing or newer than others.
+    pub entries: Vec<Entry>,
+    /// Revision to watch after, which sees everything that the scan may have missed.
+    pub revision: Revision,
+}
+
 /// What a watch saw.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Changes {
@@ -89,6 +101,25 @@
     /// A page ends early once it holds [`MAX_PAGE_BYTES`]; only an empty page is surely the last.
     async fn list(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Entry>, Error>;
 
+    /// Reads every key that begins with `prefix`.
+    ///
+    /// The revision is that of the newest entry unless the service tells its own.
+    async fn scan(&self, prefix: &str) -> Result<Scan, Error> {
+        let mut entries: Vec<Entry> = Vec::new();
+        loop {
+            let last = entries.last();
+            let after = last.map_or(String::new(), |entry| entry.key.clone());
+            let page = self.list(prefix, &after, SCAN_PAGE).await?;
+            if page.is_empty() {
+                break;
+            }
+            entries.extend(page);
+        }
+        let newest = entries.iter().map(|entry| entry.revision).max();
+        let revision = newest.unwrap_or(Revision(0));
+        Ok(Scan { entries, revision })
+    }
+
     /// Writes one key if it is as expected; the key lives by `lease` where one is given.
     async fn put(
         &self,
--- a/crates/table/src/compile.rs
+++ b/crates/table/src/compile.rs
@@ -53,6 +53,7 @@
     Ok(Snapshot {
         version: old.version,
         digest: old.digest,
+        limits: old.limits,
         pools,
         hosts: Arc::new(hosts(&routes)),
         routes: routes.into(),
--- a/crates/table/src/snapshot.rs
+++ b/crates/table/src/snapshot.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use http::{HeaderMap, Method};
-use model::{Digest, PathMatch, Pool, Route, Service, Version, Weight};
+use model::{ConnectionLimits, Digest, PathMatch, Pool, Route, Service, Version, Weight};
 
 use crate::Upstream;
 
@@ -41,6 +41,7 @@
 pub struct HostTable {
     pub(crate) exact: HashMap<String, Vec<RouteIndex>>,
     pub(crate) prefix: HashMap<String, Vec<RouteIndex>>,
+    pub(crate) directory: HashMap<String, Vec<RouteIndex>>,
 }
 
 /// Configuration and membership at one instant. Every index inside resolves.
@@ -50,6 +51,8 @@
     pub version: Version,
     /// Digest of the version's change.
     pub digest: Digest,
+    /// Limits on callers' connections.
+    pub limits: ConnectionLimits,
     pub(crate) pools: Vec<Arc<PoolTable>>,
     pub(crate) routes: Arc<[Arc<RouteTable>]>,
     pub(crate) hosts: Arc<HashMap<Arc<str>, Arc<HostTable>>>,
@@ -61,6 +64,7 @@
         Self {
             version: Version::default(),
             digest: Digest::ZERO,
+            limits: ConnectionLimits::default(),
             pools: Vec::new(),
             routes: Arc::from([]),
             hosts: Arc::default(),
@@ -103,11 +107,37 @@
     /// Returns the routes that match `path`, the most specific first.
     fn candidates<'a>(&'a self, path: &'a str) -> impl Iterator<Item = RouteIndex> + 'a {
         let exact = self.exact.get(path).into_iter().flatten();
-        let prefixes = prefixes(path).filter_map(|prefix| self.prefix.get(prefix));
-        exact.chain(prefixes.flatten()).copied()
+        let directories = directories(path);
+        let directories = directories.filter_map(|path| Some((path, self.directory.get(path)?)));
+        let prefixes = prefixes(path).filter_map(|path| Some((path, self.prefix.get(path)?)));
+        let below = longest_first(directories, prefixes);
+        exact.chain(below.flatten()).copied()
     }
 }
 
+/// Merges two sequences of paths, each with the longest first.
+fn longest_first<'a, T>(
+    one: impl Iterator<Item = (&'a str, T)>,
+    other: impl Iterator<Item = (&'a str, T)>,
+) -> impl Iterator<Item = T> {
+    let mut one = one.peekable();
+    let mut other = other.peekable();
+    std::iter::from_fn(move || {
+        let one_first = match (one.peek(), other.peek()) {
+            (Some((one, _)), Some((other, _))) => one.len() >= other.len(),
+            (one, _) => one.is_some(),
+        };
+        let next = if one_first { one.next() } else { other.next() };
+        next.map(|(_, value)| value)
+    })
+}
+
+/// Returns the directories that hold `path`, the longest first: `/a/b/`, `/a/`, `/`.
+fn directories(path: &str) -> impl Iterator<Item = &str> {
+    let ends = path.rmatch_indices('/').map(|(start, _)| start + 1);
+    ends.map(|end| &path[..end])
+}
+
 /// Returns `path` and everything above it, the longest first: `/a/b`, `/a`, `/`.
 fn prefixes(path: &str) -> impl Iterator<Item = &str> {
     let trimmed = path.trim_end_matches('/');
@@ -140,6 +170,7 @@
     pub(crate) fn path_key(&self) -> &str {
         match &self.route.path {
             PathMatch::Exact(path) => path,
+            PathMatch::Directory(path) => path,
             PathMatch::Prefix(path) if path == "/" => path,
             PathMatch::Prefix(path) => path.trim_end_matches('/'),
         }
--- a/crates/table/src/step.rs
+++ b/crates/table/src/step.rs
@@ -50,6 +50,7 @@
     Ok(Snapshot {
         version: old.version,
         digest: old.digest,
+        limits: old.limits,
         pools: draft.pools,
         routes: draft.routes.into(),
         hosts: Arc::new(draft.hosts),
@@ -200,7 +201,8 @@
         }
     }
     for table in hosts.values_mut() {
-        for list in table.exact.values_mut().chain(table.prefix.values_mut()) {
+        let lists = table.exact.values_mut().chain(table.prefix.values_mut());
+        for list in lists.chain(table.directory.values_mut()) {
             sort(list, routes);
         }
     }
@@ -216,6 +218,7 @@
         let paths = match route.route.path {
             PathMatch::Exact(_) => &mut self.exact,
             PathMatch::Prefix(_) => &mut self.prefix,
+            PathMatch::Directory(_) => &mut self.directory,
         };
         paths.entry(route.path_key().to_owned()).or_default()
     }
@@ -226,13 +229,14 @@
             let paths = match route.route.path {
                 PathMatch::Exact(_) => &mut self.exact,
                 PathMatch::Prefix(_) => &mut self.prefix,
+                PathMatch::Directory(_) => &mut self.directory,
             };
             paths.remove(route.path_key());
         }
     }
 
     fn is_empty(&self) -> bool {
-        self.exact.is_empty() && self.prefix.is_empty()
+        self.exact.is_empty() && self.prefix.is_empty() && self.directory.is_empty()
     }
 }
 
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -6,7 +6,8 @@
 use arc_swap::ArcSwap;
 use member::{LinkId, Members, Record};
 use model::{
-    Change, Digest, Key, Problem, Problems, State, StateError, Version, validate, validate_changed,
+    Change, ConnectionLimits, Digest, Key, Problem, Problems, State, StateError, Version, validate,
+    validate_changed,
 };
 use tokio::sync::watch;
 
@@ -153,7 +154,8 @@
             change: Arc::clone(bytes),
             state,
         };
-        self.serve(&mut inner, whole, last, Some(&keys))?;
+        let limits = self.snapshot().limits;
+        self.serve(&mut inner, whole, last, Some(&keys), limits)?;
         for (change, bytes) in steps {
             inner.history.push(change.version, change.parent, bytes);
         }
@@ -166,6 +168,20 @@
     ///
     /// On every error the version in force stays, whole.
     pub fn install(&self, whole: Whole) -> Result<Applied, ApplyError> {
+        let limits = self.snapshot().limits;
+        self.install_with(whole, limits)
+    }
+
+    /// Puts a whole version in force together with limits on callers' connections.
+    ///
+    /// # Errors
+    ///
+    /// On every error the version and the limits in force stay, whole.
+    pub fn install_with(
+        &self,
+        whole: Whole,
+        limits: ConnectionLimits,
+    ) -> Result<Applied, ApplyError> {
         let change = read(&whole.change)?;
         let found = whole.state.root();
         if found != change.root {
@@ -178,7 +194,7 @@
         if change.version <= inner.version {
             return Ok(Applied::Stale);
         }
-        self.serve(&mut inner, whole, &change, None)?;
+        self.serve(&mut inner, whole, &change, None, limits)?;
         inner.history.clear();
         Ok(Applied::Now(change.version))
     }
@@ -239,6 +255,7 @@
         whole: Whole,
         change: &Change,
         keys: Option<&BTreeSet<Key>>,
+        limits: ConnectionLimits,
     ) -> Result<(), ApplyError> {
         let version = change.version;
         let digest = Digest::of(&whole.change);
@@ -253,6 +270,7 @@
             compiled.map_err(|problems| ApplyError::Invalid { version, problems })?;
         snapshot.version = version;
         snapshot.digest = digest;
+        snapshot.limits = limits;
         inner.version = version;
         inner.digest = digest;
         inner.state = whole.state;
--- a/src/command.rs
+++ b/src/command.rs
@@ -8,14 +8,15 @@
 use admin::{Client, ClientError, Status, TokenHash};
 use clap::CommandFactory;
 use clap_mangen::Man;
-use daemon::{Daemon, Settings};
+use daemon::{Addresses, Daemon, DirectDaemon, Settings, StoreProtocol};
 use model::{AcceptId, Secret, State, Version};
 use rand::RngExt;
+use slog::{Logger, info, warn};
 use tokio::time::{Instant, sleep};
 
 use crate::cli::{AcceptArgs, Cli, Command, Remote, RollbackArgs};
 use crate::error::Error;
-use crate::interrupt::Interrupt;
+use crate::interrupt::{Interrupt, Signalled};
 use crate::output::Output;
 use crate::{describe, logging};
 
@@ -76,22 +77,50 @@
     let mut interrupt = Interrupt::open()?;
     let settings = Settings::read(path)?;
     let log = logging::open(&settings.log);
-    let daemon = tokio::select! {
-        daemon = Daemon::spawn(settings, log) => daemon,
-        () = interrupt.wait() => return Ok(()),
-    };
-    let daemon = daemon.map_err(|error| Error::Spawn(path.into(), error))?;
-    let addresses = daemon.addresses();
+    match settings.store.protocol {
+        StoreProtocol::Grpc => {
+            let daemon = tokio::select! {
+                daemon = Daemon::spawn(settings, log) => daemon,
+                () = interrupt.wait() => return Ok(()),
+            };
+            let daemon = daemon.map_err(|error| Error::Spawn(path.into(), error))?;
+            announce_ready(daemon.addresses())?;
+            interrupt.wait().await;
+            daemon.stop().await;
+        }
+        StoreProtocol::Platform => {
+            let ports = platform::ports(&settings);
+            let daemon = DirectDaemon::spawn(settings, ports, log.clone()).await;
+            let daemon = daemon.map_err(|error| Error::Spawn(path.into(), error))?;
+            announce_ready(daemon.addresses())?;
+            while interrupt.wait_or_hangup().await == Signalled::Hangup {
+                check_changed(path, &log);
+            }
+            daemon.stop().await;
+        }
+    }
+    Ok(())
+}
+
+/// Prints where a daemon listens.
+fn announce_ready(addresses: Addresses) -> io::Result<()> {
     let mut stdout = io::stdout();
     writeln!(
         stdout,
         "ready {{\"caller\":\"{}\",\"gate\":\"{}\",\"fleet\":\"{}\",\"admin\":\"{}\",\"announce\":\"{}\"}}",
         addresses.caller, addresses.gate, addresses.fleet, addresses.admin, addresses.announce
     )?;
-    stdout.flush()?;
-    interrupt.wait().await;
-    daemon.stop().await;
-    Ok(())
+    stdout.flush()
+}
+
+/// Checks settings that changed under a running daemon, which keeps those of its start.
+fn check_changed(path: &Path, log: &Logger) {
+    match Settings::read(path) {
+        Ok(_) => {
+            info!(log, "settings read again"; "outcome" => "valid, in force from the next start")
+        }
+        Err(error) => warn!(log, "settings read again"; "outcome" => "refused", "reason" => %error),
+    }
 }
 
 async fn check(file: &Path, admin: Option<SocketAddr>, output: Output) -> Result<(), Error> {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -157,6 +157,7 @@
             id: vm.parse().map_err(fail)?,
             failure_domain: domain.parse().map_err(fail)?,
             region: "cz-morava".parse().map_err(fail)?,
+            service: None,
         },
         listen: ListenSettings {
             caller: free,
@@ -167,7 +168,7 @@
             ..ListenSettings::default()
         },
         fleet: FleetSettings::with_key(Secret::new(FLEET_KEY)),
-        store: StoreSettings { address: free },
+        store: StoreSettings::at(free),
         upstream: UpstreamSettings::default(),
         log: LogSettings::default(),
         operators: vec![OperatorSettings {
--- a/src/interrupt.rs
+++ b/src/interrupt.rs
@@ -4,6 +4,15 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Signalled {
+    /// The end of the daemon.
+    End,
+    /// A look at the settings, which changed.
+    Hangup,
+}
+
 /// The signals that end a daemon gracefully: INT, TERM and HUP.
 #[derive(Debug)]
 pub(crate) struct Interrupt {
@@ -26,6 +35,15 @@
         })
     }
 
+    /// Waits for a signal, where HUP does not end the daemon.
+    pub(crate) async fn wait_or_hangup(&mut self) -> Signalled {
+        tokio::select! {
+            _ = self.interrupt.recv() => Signalled::End,
+            _ = self.terminate.recv() => Signalled::End,
+            _ = self.hangup.recv() => Signalled::Hangup,
+        }
+    }
+
     /// Waits for one of the signals.
     pub(crate) async fn wait(&mut self) {
         tokio::select! {
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -58,7 +58,7 @@
         let row = format!("| `{section}.{key}` | ");
         assert!(operating.contains(&row), "{row}");
         let required = ["vm", "store", "operators"].contains(&section.as_str());
-        let optional = key == "key_file" || key.starts_with("advertise_");
+        let optional = ["key_file", "ready"].contains(&key) || key.starts_with("advertise_");
         if !required && !optional {
             let row = format!("{row}`{}` |", value.trim_matches('"'));
             assert!(operating.contains(&row), "{row}");
