Admit calls by what can still be answered by their aim

Ruled out: room in the queue alone; a longer queue serves more of them late.

A call now waits only as long as its answer can still come by its route's objective, by the time that the upstream takes for the calls of that route; the queue is in order of that time within a priority, and sheds what a call with an earlier one displaces. A refusal tells when a slot is expected.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -3,19 +3,65 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use model::Priority;
+use model::{Priority, RouteName};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
 use crate::limit::{Reply, Sample};
-use crate::queue::{Entry, Queue, Rank, Shed};
+use crate::queue::{Entry, Queue, Rank, Shed, Ticket};
+use crate::work::Works;
 
 /// What a waiting call is told.
-type Verdict = Result<Slot, Shed>;
+type Verdict = Result<Slot, Refused>;
+
+/// A call that was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Refused {
+    /// Why.
+    pub(crate) shed: Shed,
+    /// Time until a call like it would have run.
+    pub(crate) wait: Duration,
+}
+
+/// A call that asks for admission.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Request<'a> {
+    /// Its route, where the ingress names it.
+    pub(crate) route: Option<&'a RouteName>,
+    /// Its route's priority.
+    pub(crate) priority: Priority,
+    /// When it is given up.
+    pub(crate) deadline: Instant,
+    /// When its answer is worth most at the latest.
+    pub(crate) aim: Option<Instant>,
+}
+
+/// Calls before one upstream.
+#[derive(Debug)]
+struct State {
+    queue: Queue<oneshot::Sender<Verdict>>,
+    works: Works,
+}
+
+impl State {
+    fn ticket(&self, request: &Request<'_>) -> Ticket {
+        Ticket {
+            priority: request.priority,
+            deadline: request.deadline,
+            aim: request.aim,
+            work: request.route.and_then(|route| self.works.get(route)),
+        }
+    }
+
+    fn refuse(&self, shed: Shed, ticket: &Ticket) -> Refused {
+        let wait = self.queue.expected_wait(ticket);
+        Refused { shed, wait }
+    }
+}
 
 /// Admission of calls to one upstream.
 #[derive(Debug, Clone)]
-pub(crate) struct Admission(Arc<Mutex<Queue<oneshot::Sender<Verdict>>>>);
+pub(crate) struct Admission(Arc<Mutex<State>>);
 
 /// The right to run one call; given back when dropped.
 #[derive(Debug)]
@@ -31,15 +77,18 @@
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        self.admission.lock().cancel(self.rank);
+        self.admission.lock().queue.cancel(self.rank);
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let next = self.admission.lock().leave(Instant::now());
+        let next = self.admission.lock().queue.leave(Instant::now());
         for waiter in next.late {
-            let _ = waiter.send(Err(Shed::Deadline));
+            let _ = waiter.send(Err(Refused {
+                shed: Shed::Deadline,
+                wait: Duration::ZERO,
+            }));
         }
         for waiter in next.run {
             // A waiter that is gone gives the slot back by dropping it.
@@ -49,69 +98,77 @@
 }
 
 impl Slot {
-    /// Notes how the upstream answered after `latency`.
-    pub(crate) fn observe(&self, latency: Duration, reply: Reply) {
-        let mut queue = self.admission.lock();
-        let running = queue.running();
+    /// Notes how the upstream answered a call of `route` after `latency`.
+    pub(crate) fn observe(&self, route: Option<&RouteName>, latency: Duration, reply: Reply) {
+        let mut state = self.admission.lock();
         let sample = Sample {
             latency,
             reply,
-            running,
+            running: state.queue.running(),
         };
-        queue.observe(sample, Instant::now());
+        state.queue.observe(sample, Instant::now());
+        if let Some(route) = route.filter(|_| reply == Reply::Ran) {
+            state.works.observe(route, latency);
+        }
     }
 }
 
 impl Admission {
     /// Returns an admission without any slot.
     pub(crate) fn new() -> Self {
-        Self(Arc::new(Mutex::new(Queue::new(0))))
+        Self(Arc::new(Mutex::new(State {
+            queue: Queue::new(0),
+            works: Works::default(),
+        })))
     }
 
     /// Sets the number of slots that the upstream claims. Calls in flight still count.
     pub(crate) fn resize(&self, slots: u32) {
-        self.lock().resize(slots);
+        self.lock().queue.resize(slots);
     }
 
     /// Returns the calls that run and wait, in percent of those that may run.
     pub(crate) fn load(&self) -> u32 {
-        self.lock().load()
+        self.lock().queue.load()
     }
 
-    /// Returns the time until a call that arrives now would get a slot.
-    pub(crate) fn wait(&self) -> Duration {
-        self.lock().expected_wait()
+    /// Takes a slot if one is free now.
+    pub(crate) fn enter_now(&self, request: &Request<'_>) -> Verdict {
+        let mut state = self.lock();
+        if state.queue.enter_now() {
+            return Ok(self.slot());
+        }
+        let ticket = state.ticket(request);
+        Err(state.refuse(Shed::Full, &ticket))
     }
 
-    /// Takes a slot; with `wait`, waits for one as long as there is hope before `deadline`.
-    pub(crate) async fn enter(&self, priority: Priority, deadline: Instant, wait: bool) -> Verdict {
-        if !wait {
-            return match self.lock().enter_now() {
-                true => Ok(self.slot()),
-                false => Err(Shed::Full),
-            };
-        }
+    /// Takes a slot, and waits for one as long as there is hope.
+    pub(crate) async fn enter(&self, request: &Request<'_>) -> Verdict {
         let (waiter, verdict) = oneshot::channel();
-        let entry = self
-            .lock()
-            .enter(priority, deadline, waiter, Instant::now());
-        let (place, until) = match entry {
-            Entry::Run => return Ok(self.slot()),
-            Entry::Shed(shed) => return Err(shed),
-            Entry::Wait { rank, until, shed } => {
-                if let Some(shed) = shed {
-                    let _ = shed.send(Err(Shed::Full));
+        let (place, until) = {
+            let mut state = self.lock();
+            let ticket = state.ticket(request);
+            match state.queue.enter(ticket, waiter, Instant::now()) {
+                Entry::Run => return Ok(self.slot()),
+                Entry::Shed(shed) => return Err(state.refuse(shed, &ticket)),
+                Entry::Wait { rank, until, shed } => {
+                    let refused = state.refuse(Shed::Full, &ticket);
+                    for waiter in shed {
+                        let _ = waiter.send(Err(refused));
+                    }
+                    let admission = self;
+                    (Place { admission, rank }, until)
                 }
-                let admission = self;
-                (Place { admission, rank }, until)
             }
         };
         let verdict = timeout_at(until, verdict).await;
         drop(place);
-        match verdict {
-            Ok(Ok(verdict)) => verdict,
-            Ok(Err(_)) | Err(_) => Err(Shed::Full),
+        if let Ok(Ok(verdict)) = verdict {
+            return verdict;
         }
+        let state = self.lock();
+        let ticket = state.ticket(request);
+        Err(state.refuse(Shed::Full, &ticket))
     }
 
     fn slot(&self) -> Slot {
@@ -120,7 +177,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Queue<oneshot::Sender<Verdict>>> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -6,20 +6,21 @@
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
-use model::{ConnectionLimits, Secret};
+use model::{ConnectionLimits, RouteName, Secret};
 use prometheus::IntGauge;
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use crate::admission::{Admission, Slot};
+use crate::admission::{self, Admission, Refused, Slot};
 use crate::backend::{Announcement, Backend, Readiness};
 use crate::body::{Body, Holding, boxed};
 use crate::bounds::timed;
 use crate::connections::{Connections, InUse};
 use crate::dialect::{Dialect, Envelope, Judgement};
 use crate::header::{
-    CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, SERVICE, number, remove_hop, remove_own,
+    AIM, CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, ROUTE, SERVICE, number, remove_hop,
+    remove_own,
 };
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
@@ -118,6 +119,7 @@
         self.check_backend(request.headers())?;
         let mut claim = self.claim(request.headers())?;
         let (running, announced) = self.admit(request.headers(), deadline).await?;
+        let route = route(request.headers());
         let request = for_upstream(request, &announced, &*self.dialect, deadline);
         let id = request.headers().get(self.dialect.id()).cloned();
         note(&mut claim, Some(Fate::Unknown));
@@ -136,9 +138,15 @@
                     note(&mut claim, None);
                 }
                 match refusal.kind {
-                    RefusalKind::Deadline => running.slot.observe(started.elapsed(), Reply::Late),
+                    RefusalKind::Deadline => {
+                        running
+                            .slot
+                            .observe(route.as_ref(), started.elapsed(), Reply::Late)
+                    }
                     RefusalKind::Rejected => {
-                        running.slot.observe(started.elapsed(), Reply::Refused);
+                        running
+                            .slot
+                            .observe(route.as_ref(), started.elapsed(), Reply::Refused);
                     }
                     _ => {}
                 }
@@ -148,7 +156,7 @@
         note(&mut claim, Some(Fate::Ran));
         running
             .slot
-            .observe(started.elapsed(), reply(response.status()));
+            .observe(route.as_ref(), started.elapsed(), reply(response.status()));
         remove_hop(response.headers_mut());
         remove_own(response.headers_mut());
         let held = Held {
@@ -223,40 +231,56 @@
         let mut announced = self.check_backend(headers)?;
         self.admission
             .resize(announced.slots.min(announced.connections));
-        let wait = !headers.contains_key(NO_WAIT);
-        let entered = self.admission.enter(priority(headers), deadline, wait);
+        let route = route(headers);
+        let aim = number(headers, &AIM).map(Duration::from_millis);
+        let asked = admission::Request {
+            route: route.as_ref(),
+            priority: priority(headers),
+            deadline,
+            aim: aim.map(|left| Instant::now() + left),
+        };
+        if headers.contains_key(NO_WAIT) {
+            let slot = self.admission.enter_now(&asked).map_err(refuse)?;
+            return Ok((self.running(slot), announced));
+        }
+        let entered = self.admission.enter(&asked);
         let mut entered = std::pin::pin!(entered);
         let slot = loop {
             tokio::select! {
                 biased;
-                slot = &mut entered => {
-                    break slot.map_err(|shed| self.refuse(shed))?;
-                },
+                slot = &mut entered => break slot.map_err(refuse)?,
                 // An upstream that begins to drain takes none of those that wait.
                 () = self.backend.changed(Some(&announced)) => {
                     announced = self.check_backend(headers)?;
                 }
             }
         };
+        let running = self.running(slot);
+        let announced = self.check_backend(headers)?;
+        Ok((running, announced))
+    }
+
+    fn running(&self, slot: Slot) -> Running {
         self.metrics.in_flight.inc();
-        let running = Running {
+        Running {
             slot,
             in_flight: self.metrics.in_flight.clone(),
-        };
-        let announced = self.check_backend(headers)?;
-        Ok((running, announced))
+        }
     }
 }
 
-impl Gate {
-    /// Describes a call that was not admitted, with the time in which the queue will have drained.
-    fn refuse(&self, shed: Shed) -> Refusal {
-        let message = match shed {
-            Shed::Full => "the upstream's slots and queue are full; try again later",
-            Shed::Deadline => "the upstream has no slot free before the deadline; try again later",
-        };
-        Refusal::not_run(RefusalKind::Overloaded, message).with_pause(self.admission.wait())
-    }
+/// Describes a call that was not admitted, with the time after which there would be a slot for it.
+fn refuse(refused: Refused) -> Refusal {
+    let message = match refused.shed {
+        Shed::Full => "the upstream's slots and queue are full; try again later",
+        Shed::Deadline => "the upstream has no slot free before the deadline; try again later",
+    };
+    Refusal::not_run(RefusalKind::Overloaded, message).with_pause(refused.wait)
+}
+
+/// Returns the route that the ingress names.
+fn route(headers: &HeaderMap) -> Option<RouteName> {
+    headers.get(ROUTE)?.to_str().ok()?.parse().ok()
 }
 
 /// Notes what is known of a call that may run only once.
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -33,6 +33,12 @@
 /// Service of the VM on which the call began.
 pub(crate) const CALLER: HeaderName = HeaderName::from_static("sardinestall-caller");
 
+/// Route of the call.
+pub(crate) const ROUTE: HeaderName = HeaderName::from_static("sardinestall-route");
+
+/// Time left until the call's answer is worth less, in milliseconds.
+pub(crate) const AIM: HeaderName = HeaderName::from_static("sardinestall-aim-ms");
+
 /// Marks a try that is refused at once where it would have to wait for a slot.
 pub(crate) const NO_WAIT: HeaderName = HeaderName::from_static("sardinestall-no-wait");
 
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -30,6 +30,7 @@
 mod serve;
 mod tries;
 mod watch;
+pub mod work;
 
 pub use backend::{Announcement, Backend, Readiness};
 pub use dialect::{Dialect, Envelope, Judgement, OwnDialect};
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -18,6 +18,14 @@
 /// Shortest limit on the time in the queue.
 const MIN_PATIENCE: Duration = Duration::from_millis(20);
 
+/// Time that a call is expected to take beside its mean, which its answer must be able to take and
+/// still come by its aim: about four of five calls take less.
+const WORK_MARGIN: f64 = 1.3;
+
+/// Wait that is always allowed, as a share of the time that the upstream takes for the call. Where
+/// the upstream itself is too slow for the aim, its answers are late but wanted.
+const MIN_WAIT_SHARE: f64 = 0.25;
+
 /// Why a call was not admitted.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Shed {
@@ -27,11 +35,25 @@
     Deadline,
 }
 
-/// Place of a call in the order of admission: the highest priority, then the earliest deadline.
+/// What the queue knows of a call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ticket {
+    /// Its route's priority.
+    pub priority: Priority,
+    /// When it is given up.
+    pub deadline: Instant,
+    /// When its answer is worth most to its caller at the latest, where the route says so.
+    pub aim: Option<Instant>,
+    /// Time that the upstream takes for calls of its route, where that is known.
+    pub work: Option<Duration>,
+}
+
+/// Place of a call in the order of admission: the highest priority, then the earliest aim or, without
+/// one, the earliest deadline.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     priority: Reverse<Priority>,
-    deadline: Instant,
+    due: Instant,
     number: u64,
 }
 
@@ -46,8 +68,8 @@
         rank: Rank,
         /// When it has waited so long that it is shed: others keep going before it.
         until: Instant,
-        /// The call that was shed.
-        shed: Option<W>,
+        /// The calls that were shed.
+        shed: Vec<W>,
     },
     /// It is shed.
     Shed(Shed),
@@ -62,12 +84,25 @@
     pub late: Vec<W>,
 }
 
+/// A call that waits.
+#[derive(Debug)]
+struct Waiting<W> {
+    ticket: Ticket,
+    /// When it has waited so long that it is shed.
+    until: Instant,
+    waiter: W,
+}
+
 /// Calls that run and that wait for an upstream.
+///
+/// Answers the load pattern of an upstream that is asked for more than it can run: a call waits only as
+/// long as its answer can still come by its aim, so those that are served are served in time, and those
+/// that are not hear so at once.
 #[derive(Debug)]
 pub struct Queue<W> {
     limit: Limit,
     running: u32,
-    waiting: BTreeMap<Rank, W>,
+    waiting: BTreeMap<Rank, Waiting<W>>,
     number: u64,
 }
 
@@ -92,15 +127,21 @@
         self.running
     }
 
+    /// Returns the calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns the calls that run and wait, in percent of those that may run.
     pub fn load(&self) -> u32 {
         let calls = self.running + self.waiting.len() as u32;
         calls * 100 / self.limit.get().max(1)
     }
 
-    /// Returns the time until a call that arrives now would run, behind all that wait.
-    pub fn expected_wait(&self) -> Duration {
-        self.wait(self.waiting.len() as u32)
+    /// Returns the time until a call with `ticket` that arrives now would run.
+    pub fn expected_wait(&self, ticket: &Ticket) -> Duration {
+        let rank = self.rank(ticket);
+        self.wait(self.waiting.range(..rank).count() as u32)
     }
 
     /// Takes a slot for a call that does not wait; returns whether one was free.
@@ -113,40 +154,56 @@
     }
 
     /// Decides about a call that arrives; `waiter` is kept if it waits.
-    pub fn enter(
-        &mut self,
-        priority: Priority,
-        deadline: Instant,
-        waiter: W,
-        now: Instant,
-    ) -> Entry<W> {
-        let limit = self.limit.get();
-        if self.running < limit && self.waiting.is_empty() {
-            self.running += 1;
+    pub fn enter(&mut self, ticket: Ticket, waiter: W, now: Instant) -> Entry<W> {
+        if self.enter_now() {
             return Entry::Run;
         }
         self.number += 1;
-        let rank = Rank {
-            priority: Reverse(priority),
-            deadline,
-            number: self.number,
-        };
-        let before = self.waiting.range(..rank).count() as u32;
-        if now + self.wait(before) + self.limit.latency() > deadline {
+        let rank = self.rank(&ticket);
+        let wait = self.expected_wait(&ticket);
+        if now + wait + self.work(&ticket) > ticket.deadline {
             return Entry::Shed(Shed::Deadline);
         }
-        let mut shed = None;
-        if self.waiting.len() >= (limit * QUEUE_PER_SLOT) as usize {
+        let patience = self.patience(&ticket, now);
+        if ticket.aim.is_some() && wait > patience {
+            return Entry::Shed(Shed::Full);
+        }
+        let mut shed = Vec::new();
+        if self.waiting.len() >= (self.limit.get() * QUEUE_PER_SLOT) as usize {
             match self.waiting.last_entry() {
-                Some(last) if last.key().priority > rank.priority => shed = Some(last.remove()),
+                Some(last) if *last.key() > rank => shed.push(last.remove().waiter),
                 _ => return Entry::Shed(Shed::Full),
             }
         }
-        self.waiting.insert(rank, waiter);
-        let until = deadline.min(now + self.patience());
+        let until = ticket.deadline.min(now + patience);
+        let waiting = Waiting {
+            ticket,
+            until,
+            waiter,
+        };
+        self.waiting.insert(rank, waiting);
+        shed.extend(self.shed_displaced(rank, now));
         Entry::Wait { rank, until, shed }
     }
 
+    /// Sheds the calls behind `rank` that can no longer run in time.
+    fn shed_displaced(&mut self, rank: Rank, now: Instant) -> Vec<W> {
+        let before = self.waiting.range(..=rank).count() as u32;
+        let mut kept = 0;
+        let mut displaced = Vec::new();
+        for (other, waiting) in self.waiting.range(rank..).skip(1) {
+            if waiting.ticket.aim.is_some() && now + self.wait(before + kept) > waiting.until {
+                displaced.push(*other);
+            } else {
+                kept += 1;
+            }
+        }
+        let removed = displaced
+            .iter()
+            .filter_map(|rank| self.waiting.remove(rank));
+        removed.map(|waiting| waiting.waiter).collect()
+    }
+
     /// Notes that a call no longer waits by its own will.
     pub fn cancel(&mut self, rank: Rank) {
         self.waiting.remove(&rank);
@@ -165,23 +222,42 @@
             late: Vec::new(),
         };
         while self.running < self.limit.get() {
-            let Some((rank, waiter)) = self.waiting.pop_first() else {
+            let Some((_, waiting)) = self.waiting.pop_first() else {
                 break;
             };
-            if now + self.limit.latency() > rank.deadline {
-                next.late.push(waiter);
+            if now + self.work(&waiting.ticket) > waiting.ticket.deadline {
+                next.late.push(waiting.waiter);
             } else {
                 self.running += 1;
-                next.run.push(waiter);
+                next.run.push(waiting.waiter);
             }
         }
         next
     }
 
-    /// Returns how long a call may wait.
-    fn patience(&self) -> Duration {
-        let full = self.limit.latency() * QUEUE_PER_SLOT;
-        full.mul_f64(PATIENCE).max(MIN_PATIENCE)
+    fn rank(&self, ticket: &Ticket) -> Rank {
+        Rank {
+            priority: Reverse(ticket.priority),
+            due: ticket.aim.unwrap_or(ticket.deadline),
+            number: self.number,
+        }
+    }
+
+    /// Returns the time that the upstream is expected to take for a call.
+    fn work(&self, ticket: &Ticket) -> Duration {
+        ticket.work.unwrap_or_else(|| self.limit.latency())
+    }
+
+    /// Returns how long a call may wait that arrives now.
+    fn patience(&self, ticket: &Ticket, now: Instant) -> Duration {
+        let Some(aim) = ticket.aim else {
+            let full = self.limit.latency() * QUEUE_PER_SLOT;
+            return full.mul_f64(PATIENCE).max(MIN_PATIENCE);
+        };
+        let work = self.work(ticket);
+        let left = aim.saturating_duration_since(now);
+        let spare = left.saturating_sub(work.mul_f64(WORK_MARGIN));
+        spare.max(work.mul_f64(MIN_WAIT_SHARE)).max(MIN_PATIENCE)
     }
 
     /// Returns how long a call waits that has `before` others before it.
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -14,8 +14,8 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::header::{
-    CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, SERVICE, number, remove_hop,
-    remove_own,
+    AIM, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, ROUTE, SERVICE, number,
+    remove_hop, remove_own,
 };
 use crate::retry::is_idempotent;
 use crate::tries::Origin;
@@ -33,6 +33,8 @@
     pub(crate) route: Arc<RouteTable>,
     /// When it is given up.
     pub(crate) deadline: Instant,
+    /// When its answer is worth most at the latest, where the route says so.
+    aim: Option<Instant>,
     /// Whether it may run more than once.
     pub(crate) idempotent: bool,
 }
@@ -84,6 +86,9 @@
             parts,
             snapshot,
             deadline: started + time,
+            aim: rules
+                .objective
+                .map(|objective| started + objective.duration()),
             idempotent,
             route,
         })
@@ -137,6 +142,12 @@
             let caller = HeaderValue::from_str(caller.as_str());
             headers.insert(CALLER, caller.map_err(|error| bad(error.into()))?);
         }
+        let route = HeaderValue::from_str(self.route.route.name.as_str());
+        headers.insert(ROUTE, route.map_err(|error| bad(error.into()))?);
+        if let Some(aim) = self.aim {
+            let left = aim.saturating_duration_since(Instant::now());
+            headers.insert(AIM, HeaderValue::from(left.as_millis() as u64));
+        }
         if !wait {
             headers.insert(NO_WAIT, HeaderValue::from_static("1"));
         }
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -7,7 +7,7 @@
 use call::health::{Health, Seen, Standing, may_set_aside};
 use call::keys::{Entry as KeyEntry, Fate, KEY_WINDOW, KeyTable, MAX_KEYS};
 use call::limit::{Limit, Reply, Sample};
-use call::queue::{Entry, Queue, Shed};
+use call::queue::{Entry, Queue, Shed, Ticket};
 use call::retry::{is_idempotent, may_retry};
 use call::{Outcome, Refusal, RefusalKind};
 use http::Method;
@@ -22,11 +22,21 @@
     Duration::from_millis(millis)
 }
 
+/// Returns a call without an aim.
+fn ticket(priority: Priority, deadline: Instant) -> Ticket {
+    Ticket {
+        priority,
+        deadline,
+        aim: None,
+        work: None,
+    }
+}
+
 /// Returns a queue of `slots` whose calls take `latency`, all slots taken by calls 0.
 fn busy(slots: u32, latency: Duration, now: Instant) -> Queue<u32> {
     let mut queue = Queue::new(slots);
     for _ in 0..slots {
-        let entry = queue.enter(Priority::Normal, now + SECOND, 0, now);
+        let entry = queue.enter(ticket(Priority::Normal, now + SECOND), 0, now);
         assert_eq!(entry, Entry::Run);
     }
     let sample = Sample {
@@ -48,8 +58,8 @@
         (3, Priority::Normal, 500),
         (4, Priority::High, 900),
     ] {
-        let entry = queue.enter(priority, now + millis(left), name, now);
-        assert!(matches!(entry, Entry::Wait { shed: None, .. }));
+        let entry = queue.enter(ticket(priority, now + millis(left)), name, now);
+        assert!(matches!(entry, Entry::Wait { shed, .. } if shed.is_empty()));
     }
     let order: Vec<u32> = (0..4).flat_map(|_| queue.leave(now).run).collect();
     assert_eq!(order, [4, 3, 2, 1]);
@@ -59,11 +69,11 @@
 fn full_queue_sheds_the_lowest_priority() {
     let now = Instant::now();
     let mut queue = busy(1, millis(10), now);
-    queue.enter(Priority::Low, now + SECOND, 1, now);
-    queue.enter(Priority::Normal, now + SECOND, 2, now);
-    let high = queue.enter(Priority::High, now + SECOND, 3, now);
-    assert!(matches!(high, Entry::Wait { shed: Some(1), .. }));
-    let low = queue.enter(Priority::Low, now + SECOND, 4, now);
+    queue.enter(ticket(Priority::Low, now + SECOND), 1, now);
+    queue.enter(ticket(Priority::Normal, now + SECOND), 2, now);
+    let high = queue.enter(ticket(Priority::High, now + SECOND), 3, now);
+    assert!(matches!(high, Entry::Wait { shed, .. } if shed == [1]));
+    let low = queue.enter(ticket(Priority::Low, now + SECOND), 4, now);
     assert_eq!(low, Entry::Shed(Shed::Full));
 }
 
@@ -71,9 +81,9 @@
 fn call_that_cannot_meet_its_deadline_is_shed_at_once() {
     let now = Instant::now();
     let mut queue = busy(1, millis(100), now);
-    let late = queue.enter(Priority::High, now + millis(150), 1, now);
+    let late = queue.enter(ticket(Priority::High, now + millis(150)), 1, now);
     assert_eq!(late, Entry::Shed(Shed::Deadline));
-    let timely = queue.enter(Priority::High, now + millis(250), 2, now);
+    let timely = queue.enter(ticket(Priority::High, now + millis(250)), 2, now);
     assert!(matches!(timely, Entry::Wait { .. }));
     let next = queue.leave(now + millis(200));
     assert_eq!((next.run, next.late), (vec![], vec![2]));
@@ -83,7 +93,7 @@
 fn call_that_others_overtake_is_shed_before_its_deadline() {
     let now = Instant::now();
     let mut queue = busy(1, millis(50), now);
-    let entry = queue.enter(Priority::Low, now + 10 * SECOND, 1, now);
+    let entry = queue.enter(ticket(Priority::Low, now + 10 * SECOND), 1, now);
     let Entry::Wait { until, .. } = entry else {
         panic!("{entry:?}");
     };
@@ -96,7 +106,7 @@
     let now = Instant::now();
     let mut queue = busy(4, millis(1), now);
     queue.resize(2);
-    let entry = queue.enter(Priority::Normal, now + SECOND, 1, now);
+    let entry = queue.enter(ticket(Priority::Normal, now + SECOND), 1, now);
     assert!(matches!(entry, Entry::Wait { .. }));
     assert!(queue.leave(now).run.is_empty());
     assert!(queue.leave(now).run.is_empty());
