Hold a slot before a call that runs once, and choose upstreams by their pace

Cause: a call that may run once was sent whole to a gate that could be full or out of reach, so a lost link made it unknown (502, 504) though nothing had run, and bodies crossed failure domains for nothing. Its slot is now held first by a question that may be lost. Upstreams of one service differ by a factor of two in speed; the choice now weighs the pace of each, measured against what calls of the route take anywhere. Links answer a ping within 0.7 s or are given up.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::limit::{Reply, Sample};
-use crate::queue::{Entry, Queue, Rank, Shed, Ticket};
+use crate::queue::{Crowd, Entry, Queue, Rank, Shed, Ticket};
 use crate::work::Works;
 
 /// What a waiting call is told.
@@ -21,6 +21,10 @@
     pub(crate) shed: Shed,
     /// Time until a call like it would have run.
     pub(crate) wait: Duration,
+    /// Time that the upstream takes for such a call, where that is known.
+    pub(crate) work: Option<Duration>,
+    /// Calls that ran and waited, and those that might run.
+    pub(crate) crowd: Crowd,
 }
 
 /// A call that asks for admission.
@@ -55,7 +59,12 @@
 
     fn refuse(&self, shed: Shed, ticket: &Ticket) -> Refused {
         let wait = self.queue.expected_wait(ticket);
-        Refused { shed, wait }
+        Refused {
+            shed,
+            wait,
+            work: ticket.work,
+            crowd: self.queue.crowd(),
+        }
     }
 }
 
@@ -83,11 +92,16 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let next = self.admission.lock().queue.leave(Instant::now());
+        let (next, crowd) = {
+            let mut state = self.admission.lock();
+            (state.queue.leave(Instant::now()), state.queue.crowd())
+        };
         for waiter in next.late {
             let _ = waiter.send(Err(Refused {
                 shed: Shed::Deadline,
                 wait: Duration::ZERO,
+                work: None,
+                crowd,
             }));
         }
         for waiter in next.run {
@@ -152,10 +166,8 @@
                 Entry::Run => return Ok(self.slot()),
                 Entry::Shed(shed) => return Err(state.refuse(shed, &ticket)),
                 Entry::Wait { rank, until, shed } => {
-                    let refused = state.refuse(Shed::Full, &ticket);
-                    for waiter in shed {
-                        let _ = waiter.send(Err(refused));
-                    }
+                    // Each makes out its own refusal when it finds its place gone.
+                    drop(shed);
                     let admission = self;
                     (Place { admission, rank }, until)
                 }
--- a/crates/call/src/choose.rs
+++ b/crates/call/src/choose.rs
@@ -8,6 +8,9 @@
 /// Load from which calls go farther away, 1 for full.
 const SPILL_LOAD: f64 = 0.8;
 
+/// Pace from which calls go farther away: far beyond how upstreams of one service usually differ.
+const SPILL_PACE: f64 = 2.0;
+
 /// Draws of a random candidate at most; cold ones are drawn again in part.
 const MAX_DRAWS: usize = 8;
 
@@ -31,12 +34,21 @@
     pub load: f64,
     /// Share of its size that it gets, 1 but for a cold start.
     pub weight: f64,
+    /// Time that calls take there, as a multiple of what they take at any upstream.
+    pub pace: f64,
     /// Whether it takes calls.
     pub standing: Standing,
     /// Whether this call tried it already.
     pub tried: bool,
 }
 
+impl Candidate {
+    /// Returns how little a call is expected to like it there: by its pace and by its load.
+    fn cost(&self) -> f64 {
+        self.pace * (1.0 + self.load)
+    }
+}
+
 /// Returns one of the route's pools, by weight.
 pub fn pool(route: &RouteTable, rng: &mut impl Rng) -> PoolIndex {
     let total: u64 = route
@@ -83,22 +95,22 @@
         let Some(found) = better_of_two(candidates, &near, rng) else {
             continue;
         };
-        if candidates[found].load < SPILL_LOAD {
+        if candidates[found].load < SPILL_LOAD && candidates[found].pace < SPILL_PACE {
             return Some(found);
         }
         best = match best {
-            Some(best) if candidates[best].load <= candidates[found].load => Some(best),
+            Some(best) if candidates[best].cost() <= candidates[found].cost() => Some(best),
             _ => Some(found),
         };
     }
     best
 }
 
-/// Returns the less loaded of two random positions of `among`.
+/// Returns the cheaper of two random positions of `among`.
 fn better_of_two(candidates: &[Candidate], among: &[usize], rng: &mut impl Rng) -> Option<usize> {
     let first = draw(candidates, among, rng)?;
     let second = draw(candidates, among, rng)?;
-    match candidates[second].load < candidates[first].load {
+    match candidates[second].cost() < candidates[first].cost() {
         true => Some(second),
         false => Some(first),
     }
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -8,24 +8,25 @@
 use hyper::body::Incoming;
 use model::{ConnectionLimits, RouteName, Secret};
 use prometheus::IntGauge;
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 use crate::admission::{self, Admission, Refused, Slot};
 use crate::backend::{Announcement, Backend, Readiness};
-use crate::body::{Body, Holding, boxed};
+use crate::body::{Body, Holding, boxed, empty};
 use crate::bounds::timed;
 use crate::connections::{Connections, InUse};
 use crate::dialect::{Dialect, Envelope, Judgement};
 use crate::header::{
-    AIM, CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, ROUTE, SERVICE, number, remove_hop,
-    remove_own,
+    AIM, CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, RESERVATION, RESERVE, ROUTE, SERVICE,
+    number, remove_hop, remove_own,
 };
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
 use crate::queue::Shed;
 use crate::request::priority;
+use crate::reserve::{ReservationId, Reservations};
 use crate::serve::{Server, ServerError};
 use crate::{Metrics, Outcome, Refusal, RefusalKind};
 
@@ -42,9 +43,11 @@
     admission: Admission,
     keys: Keys,
     connections: Arc<Connections>,
+    reservations: Reservations<Running>,
     key: Secret,
     dialect: Arc<dyn Dialect>,
     metrics: Metrics,
+    log: Logger,
 }
 
 /// What a call holds at the gate until its answer's end. The connection goes back first.
@@ -54,6 +57,7 @@
 }
 
 /// A call that the upstream runs.
+#[derive(Debug)]
 struct Running {
     slot: Slot,
     in_flight: IntGauge,
@@ -74,15 +78,18 @@
         key: Secret,
         dialect: Arc<dyn Dialect>,
         metrics: Metrics,
+        log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
             backend,
             admission: Admission::new(),
             keys: Keys::default(),
             connections: Arc::default(),
+            reservations: Reservations::default(),
             key,
             dialect,
             metrics,
+            log,
         })
     }
 
@@ -91,12 +98,9 @@
     /// # Errors
     ///
     /// Fails if the listener has no address.
-    pub fn spawn(
-        self: &Arc<Self>,
-        listener: TcpListener,
-        log: Logger,
-    ) -> Result<Server, ServerError> {
+    pub fn spawn(self: &Arc<Self>, listener: TcpListener) -> Result<Server, ServerError> {
         let gate = Arc::clone(self);
+        let log = self.log.clone();
         Server::spawn(listener, ConnectionLimits::default, log, move |request| {
             let gate = Arc::clone(&gate);
             async move {
@@ -117,8 +121,14 @@
         self.check_key(request.headers())?;
         let deadline = deadline(request.headers());
         self.check_backend(request.headers())?;
+        if request.headers().contains_key(RESERVE) {
+            return self.reserve(request.headers(), deadline).await;
+        }
         let mut claim = self.claim(request.headers())?;
-        let (running, announced) = self.admit(request.headers(), deadline).await?;
+        let (running, announced) = match reservation(request.headers()) {
+            Some(id) => self.redeem(id, request.headers())?,
+            None => self.admit(request.headers(), deadline).await?,
+        };
         let route = route(request.headers());
         let request = for_upstream(request, &announced, &*self.dialect, deadline);
         let id = request.headers().get(self.dialect.id()).cloned();
@@ -187,6 +197,35 @@
         Err(refusal)
     }
 
+    /// Takes a slot for a call that follows.
+    async fn reserve(
+        &self,
+        headers: &HeaderMap,
+        deadline: Instant,
+    ) -> Result<Response<Body>, Refusal> {
+        let (running, _) = self.admit(headers, deadline).await?;
+        let id = self.reservations.hold(running).to_string();
+        let mut response = Response::new(empty());
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(RESERVATION, id);
+        }
+        Ok(response)
+    }
+
+    /// Takes the slot that is held for a call.
+    fn redeem(
+        &self,
+        id: ReservationId,
+        headers: &HeaderMap,
+    ) -> Result<(Running, Announcement), Refusal> {
+        let announced = self.check_backend(headers)?;
+        let running = self.reservations.take(id).ok_or_else(|| {
+            let message = "the slot held for the call has lapsed; try again";
+            Refusal::not_run(RefusalKind::Overloaded, message)
+        })?;
+        Ok((running, announced))
+    }
+
     fn check_key(&self, headers: &HeaderMap) -> Result<(), Refusal> {
         let key = headers.get(FLEET_KEY);
         if key.is_some_and(|key| self.key.matches(key.as_bytes())) {
@@ -240,6 +279,7 @@
             aim: aim.map(|left| Instant::now() + left),
         };
         if headers.contains_key(NO_WAIT) {
+            // Where there is no free slot the ingress asks elsewhere; that is no decision to log.
             let slot = self.admission.enter_now(&asked).map_err(refuse)?;
             return Ok((self.running(slot), announced));
         }
@@ -248,7 +288,10 @@
         let slot = loop {
             tokio::select! {
                 biased;
-                slot = &mut entered => break slot.map_err(refuse)?,
+                slot = &mut entered => break slot.map_err(|refused| {
+                    self.log_refused(headers, &asked, &refused);
+                    refuse(refused)
+                })?,
                 // An upstream that begins to drain takes none of those that wait.
                 () = self.backend.changed(Some(&announced)) => {
                     announced = self.check_backend(headers)?;
@@ -260,6 +303,24 @@
         Ok((running, announced))
     }
 
+    fn log_refused(&self, headers: &HeaderMap, asked: &admission::Request<'_>, refused: &Refused) {
+        let now = Instant::now();
+        let millis = |time: Duration| time.as_millis() as u64;
+        let left = |until: Instant| millis(until.saturating_duration_since(now));
+        info!(self.log, "call not admitted";
+            "request" => headers.get(self.dialect.id()).and_then(|id| id.to_str().ok()),
+            "route" => asked.route.map(RouteName::as_str),
+            "priority" => ?asked.priority,
+            "reason" => ?refused.shed,
+            "running" => refused.crowd.running,
+            "waiting" => refused.crowd.waiting,
+            "limit" => refused.crowd.limit,
+            "wait_ms" => millis(refused.wait),
+            "work_ms" => refused.work.map(millis),
+            "aim_left_ms" => asked.aim.map(left),
+            "time_left_ms" => left(asked.deadline));
+    }
+
     fn running(&self, slot: Slot) -> Running {
         self.metrics.in_flight.inc();
         Running {
@@ -278,6 +339,11 @@
     Refusal::not_run(RefusalKind::Overloaded, message).with_pause(refused.wait)
 }
 
+/// Returns the reservation that the ingress names.
+fn reservation(headers: &HeaderMap) -> Option<ReservationId> {
+    headers.get(RESERVATION)?.to_str().ok()?.parse().ok()
+}
+
 /// Returns the route that the ingress names.
 fn route(headers: &HeaderMap) -> Option<RouteName> {
     headers.get(ROUTE)?.to_str().ok()?.parse().ok()
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -42,6 +42,12 @@
 /// Marks a try that is refused at once where it would have to wait for a slot.
 pub(crate) const NO_WAIT: HeaderName = HeaderName::from_static("sardinestall-no-wait");
 
+/// Asks a gate to hold a slot for the call that follows.
+pub(crate) const RESERVE: HeaderName = HeaderName::from_static("sardinestall-reserve");
+
+/// Slot that a gate holds for the call.
+pub(crate) const RESERVATION: HeaderName = HeaderName::from_static("sardinestall-reservation");
+
 /// Time after which a refused call may come back, in milliseconds.
 pub(crate) const PAUSE: HeaderName = HeaderName::from_static("sardinestall-pause-ms");
 
--- a/crates/call/src/health.rs
+++ b/crates/call/src/health.rs
@@ -22,6 +22,12 @@
 /// Weight of a new sample in the means.
 const MEAN_WEIGHT: f64 = 0.15;
 
+/// Weight of a new sample in the mean pace.
+const PACE_WEIGHT: f64 = 0.08;
+
+/// Largest pace of one call that counts, so that a single outlier does not decide.
+const MAX_PACE: f64 = 6.0;
+
 /// Time that an upstream is set aside at first; doubled each time.
 const ASIDE_MIN: Duration = Duration::from_secs(2);
 
@@ -86,6 +92,8 @@
     failures: f64,
     /// Mean latency, in seconds.
     latency: f64,
+    /// Mean of the time that calls take here, as a multiple of what they take at any upstream.
+    pace: f64,
     load: f64,
     load_until: Instant,
     leaving_until: Instant,
@@ -104,6 +112,7 @@
             streak: 0,
             failures: 0.0,
             latency: 0.0,
+            pace: 1.0,
             load: 0.0,
             load_until: now,
             leaving_until: now,
@@ -136,6 +145,17 @@
         }
     }
 
+    /// Learns from a call that took `latency`, where calls of its route usually take `usual`.
+    pub fn observe_pace(&mut self, latency: Duration, usual: Duration) {
+        let ratio = latency.as_secs_f64() / usual.as_secs_f64().max(FAST_ENOUGH / 10.0);
+        self.pace += (ratio.min(MAX_PACE) - self.pace) * PACE_WEIGHT;
+    }
+
+    /// Returns the time that calls take here, as a multiple of what they take at any upstream.
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
     /// Takes the load that the gate reports, 1 for full.
     pub fn report(&mut self, load: f64, now: Instant) {
         self.load = load;
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod plan;
 pub mod queue;
 mod request;
+mod reserve;
 pub mod retry;
 pub mod scan;
 mod serve;
--- a/crates/call/src/links.rs
+++ b/crates/call/src/links.rs
@@ -16,10 +16,11 @@
 use crate::{Refusal, RefusalKind};
 
 /// Longest wait for a connection to a gate.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time between two pings on a quiet connection with calls in flight.
-const PING_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two pings on a connection with calls in flight, and the longest wait for their answer:
+/// calls on a connection that went silent are lost until then.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Gates connected to at most; the one used longest ago is let go first.
 const MAX_LINKS: usize = 512;
--- a/crates/call/src/payload.rs
+++ b/crates/call/src/payload.rs
@@ -13,6 +13,9 @@
 /// Largest body that is held whole, so that it can be sent again.
 const REPLAY_LIMIT: Size = Size::new(64 << 10);
 
+/// Largest body that is sent along with the question for a slot.
+const SMALL_LIMIT: Size = Size::new(4 << 10);
+
 /// The body of a request.
 pub(crate) enum Payload {
     /// Held whole: can be sent again.
@@ -43,6 +46,14 @@
         Ok(Self::Stream(Some(body), overrun))
     }
 
+    /// Returns whether the body is too large to be sent to a gate that may refuse it.
+    pub(crate) fn is_large(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.len() as u64 > SMALL_LIMIT.get(),
+            Self::Stream(..) => true,
+        }
+    }
+
     /// Returns whether the body can be sent again.
     pub(crate) fn is_replayable(&self) -> bool {
         matches!(self, Self::Whole(_))
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -12,6 +12,10 @@
 /// Calls that may wait, for each call that may run.
 const QUEUE_PER_SLOT: u32 = 2;
 
+/// Calls that may wait, for each call that may run, where each has an aim that bounds its wait: short
+/// calls pass so fast that many of them wait in time. Bounds the memory alone.
+const AIMED_PER_SLOT: u32 = 32;
+
 /// Longest time in the queue, in multiples of the time in which a full queue is run.
 const PATIENCE: f64 = 2.0;
 
@@ -57,6 +61,17 @@
     number: u64,
 }
 
+/// Calls before an upstream at one instant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Crowd {
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+    /// Calls that may run at once.
+    pub limit: u32,
+}
+
 /// What becomes of a call that arrives.
 #[derive(Debug, PartialEq)]
 pub enum Entry<W> {
@@ -127,9 +142,13 @@
         self.running
     }
 
-    /// Returns the calls that wait.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
+    /// Returns how many calls run and wait.
+    pub fn crowd(&self) -> Crowd {
+        Crowd {
+            running: self.running,
+            waiting: self.waiting.len() as u32,
+            limit: self.limit.get(),
+        }
     }
 
     /// Returns the calls that run and wait, in percent of those that may run.
@@ -169,7 +188,11 @@
             return Entry::Shed(Shed::Full);
         }
         let mut shed = Vec::new();
-        if self.waiting.len() >= (self.limit.get() * QUEUE_PER_SLOT) as usize {
+        let room = match ticket.aim {
+            Some(_) => AIMED_PER_SLOT,
+            None => QUEUE_PER_SLOT,
+        };
+        if self.waiting.len() >= (self.limit.get() * room) as usize {
             match self.waiting.last_entry() {
                 Some(last) if *last.key() > rank => shed.push(last.remove().waiter),
                 _ => return Entry::Shed(Shed::Full),
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -14,8 +14,8 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::header::{
-    AIM, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, ROUTE, SERVICE, number,
-    remove_hop, remove_own,
+    AIM, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, RESERVATION, RESERVE,
+    ROUTE, SERVICE, number, remove_hop, remove_own,
 };
 use crate::retry::is_idempotent;
 use crate::tries::Origin;
@@ -24,6 +24,23 @@
 /// Longest key that a caller may give, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
+/// What a request asks of a gate.
+#[derive(Debug, Clone)]
+pub(crate) enum Step {
+    /// To pass the call on, after a wait for a slot or not.
+    Call {
+        /// Whether it may wait.
+        wait: bool,
+    },
+    /// To hold a slot for the call.
+    Reserve {
+        /// Whether it may wait.
+        wait: bool,
+    },
+    /// To pass the call on with the slot that is held for it.
+    Redeem(HeaderValue),
+}
+
 /// One call on its way.
 pub(crate) struct Call {
     parts: Parts,
@@ -104,7 +121,7 @@
         pool: &PoolTable,
         upstream: &Upstream,
         origin: &Origin,
-        wait: bool,
+        step: &Step,
         body: Body,
     ) -> Result<Request<Body>, Refusal> {
         let bad = |_| Refusal::not_run(RefusalKind::BadRequest, "the request cannot be sent on");
@@ -148,8 +165,19 @@
             let left = aim.saturating_duration_since(Instant::now());
             headers.insert(AIM, HeaderValue::from(left.as_millis() as u64));
         }
-        if !wait {
-            headers.insert(NO_WAIT, HeaderValue::from_static("1"));
+        let flag = HeaderValue::from_static("1");
+        match step {
+            Step::Call { wait } | Step::Reserve { wait } if !wait => {
+                headers.insert(NO_WAIT, flag.clone());
+            }
+            Step::Redeem(reservation) => {
+                headers.insert(RESERVATION, reservation.clone());
+            }
+            Step::Call { .. } | Step::Reserve { .. } => {}
+        }
+        if matches!(step, Step::Reserve { .. }) {
+            headers.remove(CONTENT_LENGTH);
+            headers.insert(RESERVE, flag);
         }
         Ok(request)
     }
--- /dev/null
+++ b/crates/call/src/reserve.rs
@@ -0,0 +1,65 @@
+//! Slots that a gate holds for calls that are about to come.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::time::sleep;
+
+/// Time that a slot is held for a call: a few round trips between failure domains.
+const HOLD_LIMIT: Duration = Duration::from_millis(500);
+
+/// Number of a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct ReservationId(u64);
+
+impl fmt::Display for ReservationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ReservationId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// What is held for calls that are about to come, each for a short time.
+#[derive(Debug)]
+pub(crate) struct Reservations<T>(Arc<Mutex<HashMap<ReservationId, T>>>);
+
+impl<T> Default for Reservations<T> {
+    fn default() -> Self {
+        Self(Arc::default())
+    }
+}
+
+impl<T: Send + 'static> Reservations<T> {
+    /// Holds `held` until its call comes, or until the limit.
+    pub(crate) fn hold(&self, held: T) -> ReservationId {
+        let id = ReservationId(rand::rng().random());
+        lock(&self.0).insert(id, held);
+        let all = Arc::clone(&self.0);
+        tokio::spawn(async move {
+            sleep(HOLD_LIMIT).await;
+            let lapsed = lock(&all).remove(&id);
+            drop(lapsed);
+        });
+        id
+    }
+
+    /// Takes what is held under `id`, if it has not lapsed.
+    pub(crate) fn take(&self, id: ReservationId) -> Option<T> {
+        lock(&self.0).remove(&id)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -12,15 +12,15 @@
 use table::{PoolTable, Upstream};
 use tokio::time::{Instant, timeout_at};
 
-use crate::body::{Body, Holding, boxed};
+use crate::body::{Body, Holding, boxed, empty};
 use crate::bounds::timed;
 use crate::budget::Budgets;
-use crate::header::{LOAD, number};
+use crate::header::{LOAD, RESERVATION, number};
 use crate::health::Seen;
 use crate::links::Links;
 use crate::payload::Payload;
 use crate::plan::{Next, Plan};
-use crate::request::Call;
+use crate::request::{Call, Step};
 use crate::retry::may_retry;
 use crate::watch::{Site, Watch};
 use crate::{Metrics, Outcome, Refusal, RefusalKind, choose};
@@ -28,6 +28,13 @@
 /// Time beyond the deadline in which the gate's word on it is still awaited.
 const ANSWER_SLACK: Duration = Duration::from_millis(200);
 
+/// Longest wait for a gate's word whether it has a slot free: several round trips between failure
+/// domains, and a processor that is busy.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for a slot, the gate's own patience and the way.
+const RESERVE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Largest answer that is read whole before it is passed on, so that a broken one can be tried again,
 /// in bytes.
 const WHOLE_ANSWER: u64 = 64 << 10;
@@ -105,15 +112,13 @@
         let mut progress = Progress::default();
         let mut last: Option<Refusal> = None;
         while let Some((upstream, wait)) = self.choose(pool, &progress.plan) {
-            let wait = wait || !payload.is_replayable();
-            let Some(body) = payload.take() else {
-                break;
-            };
             if progress.arrivals > 0 && !self.budgets.spend(&pool.service) {
                 break;
             }
             progress.plan.tried(wait);
-            let ended = self.try_once(call, pool, &upstream, wait, body).await;
+            let ended = self
+                .try_once(call, pool, &upstream, wait, &mut payload)
+                .await;
             let refusal = match ended {
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
@@ -182,39 +187,95 @@
         Some((upstream, wait))
     }
 
+    /// Makes one try at `upstream`.
+    ///
+    /// A call that may run only once, and one with a large body, first has a slot held for it: so what
+    /// is lost on the way to a gate is known not to have run, and a body is sent to one gate alone.
     async fn try_once(
         &self,
         call: &Call,
         pool: &PoolTable,
         upstream: &Arc<Upstream>,
         wait: bool,
-        body: Body,
+        payload: &mut Payload,
     ) -> Tried {
-        let request = call.for_gate(pool, upstream, &self.origin, wait, body)?;
         let started = Instant::now();
+        let mut load = None;
+        let step = match call.idempotent && !payload.is_large() {
+            true => Ok(Step::Call { wait }),
+            false => self.reserve(call, pool, upstream, wait).await,
+        };
+        let tried = match step {
+            Ok(step) => match payload.take() {
+                Some(body) => self.pass(call, pool, upstream, step, body, &mut load).await,
+                None => Err(Refusal::not_run(
+                    RefusalKind::Broken,
+                    "the request's body was sent before and cannot be sent again",
+                )),
+            },
+            Err(refusal) => Err(refusal),
+        };
+        let seen = seen(&tried, started);
+        let route = &call.route.route.name;
+        self.watch
+            .observe(&pool.upstreams, upstream, route, seen, load);
+        tried
+    }
+
+    /// Has a slot held for the call.
+    async fn reserve(
+        &self,
+        call: &Call,
+        pool: &PoolTable,
+        upstream: &Arc<Upstream>,
+        wait: bool,
+    ) -> Result<Step, Refusal> {
+        let step = Step::Reserve { wait };
+        let request = call.for_gate(pool, upstream, &self.origin, &step, empty())?;
+        let limit = if wait { RESERVE_WAIT } else { RESERVE_TIMEOUT };
+        let until = call.deadline.min(Instant::now() + limit);
+        let sent = self.links.send(upstream.gate, request);
+        let answered = timeout_at(until, sent).await.unwrap_or_else(|_| {
+            let message = "the gate did not answer in time; try again";
+            Err(Refusal::not_run(RefusalKind::Unreachable, message))
+        });
+        // A slot held and not used lapses; the call itself has not been sent.
+        let response =
+            answered.map_err(|refusal| Refusal::not_run(refusal.kind, refusal.message))?;
+        if let Some(refusal) = Refusal::of(&response) {
+            return Err(refusal);
+        }
+        let held = response.headers().get(RESERVATION).cloned();
+        held.map(Step::Redeem).ok_or_else(|| {
+            let message = "the gate holds no slots; check that both daemons run one release";
+            Refusal::not_run(RefusalKind::Unreachable, message)
+        })
+    }
+
+    /// Passes the call to the gate of `upstream`.
+    async fn pass(
+        &self,
+        call: &Call,
+        pool: &PoolTable,
+        upstream: &Arc<Upstream>,
+        step: Step,
+        body: Body,
+        load: &mut Option<u64>,
+    ) -> Tried {
+        let request = call.for_gate(pool, upstream, &self.origin, &step, body)?;
         let until = call.deadline + ANSWER_SLACK;
         let in_flight = InFlight::new(Arc::clone(upstream));
         let sent = self.links.send(upstream.gate, request);
         let answered = timeout_at(until, sent)
             .await
             .unwrap_or_else(|_| Err(late()));
-        let load = answered
-            .as_ref()
-            .ok()
-            .and_then(|response| number(response.headers(), &LOAD));
-        let mut tried = match answered {
-            Ok(response) => match Refusal::of(&response) {
-                Some(refusal) => Err(refusal),
-                None => whole(response, until, in_flight).await,
-            },
-            Err(refusal) => Err(refusal),
-        };
-        let seen = seen(&tried, started);
-        self.watch.observe(&pool.upstreams, upstream, seen, load);
-        if let Ok(response) = &mut tried {
-            response.headers_mut().remove(LOAD);
+        let mut response = answered?;
+        *load = number(response.headers(), &LOAD);
+        response.headers_mut().remove(LOAD);
+        match Refusal::of(&response) {
+            Some(refusal) => Err(refusal),
+            None => whole(response, until, in_flight).await,
         }
-        tried
     }
 }
 
--- a/crates/call/src/watch.rs
+++ b/crates/call/src/watch.rs
@@ -5,12 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use model::{DomainName, Millis, RegionName};
+use model::{DomainName, Millis, RegionName, RouteName};
 use table::Upstream;
 use tokio::time::Instant;
 
 use crate::choose::{Candidate, Nearness};
 use crate::health::{Health, Seen, Standing, may_set_aside};
+use crate::work::Works;
 
 /// Upstreams observed at most; the one called longest ago is forgotten first.
 const MAX_UPSTREAMS: usize = 32_768;
@@ -29,7 +30,15 @@
 
 /// What was observed of upstreams, by the address of the gate beside each.
 #[derive(Debug, Default)]
-pub(crate) struct Watch(Mutex<HashMap<SocketAddr, Health>>);
+pub(crate) struct Watch(Mutex<Observations>);
+
+/// Observations under one lock.
+#[derive(Debug, Default)]
+struct Observations {
+    healths: HashMap<SocketAddr, Health>,
+    /// Time that the calls of each route take, at whatever upstream.
+    works: Works,
+}
 
 impl Watch {
     /// Describes `upstreams` for the choice among them.
@@ -40,7 +49,8 @@
         slow_start: Millis,
     ) -> Vec<Candidate> {
         let now = Instant::now();
-        let healths = self.lock();
+        let observations = self.lock();
+        let healths = &observations.healths;
         let describe = |upstream: &Arc<Upstream>| {
             let health = healths.get(&upstream.gate);
             let in_flight = upstream.observed.in_flight.load(Ordering::Relaxed);
@@ -49,6 +59,7 @@
                 nearness: nearness(upstream, site),
                 load: own.max(health.map_or(0.0, |health| health.load(now))),
                 weight: weight(upstream, slow_start, now),
+                pace: health.map_or(1.0, Health::pace),
                 standing: health.map_or(Standing::Open, |health| health.standing(now)),
                 tried: false,
             }
@@ -59,7 +70,7 @@
     /// Notes that a call goes to `upstream`.
     pub(crate) fn called(&self, upstream: &Upstream) {
         let now = Instant::now();
-        let mut healths = self.lock();
+        let healths = &mut self.lock().healths;
         if healths.len() >= MAX_UPSTREAMS && !healths.contains_key(&upstream.gate) {
             let oldest = healths.iter().min_by_key(|(_, health)| health.used);
             if let Some(oldest) = oldest.map(|(gate, _)| *gate) {
@@ -77,15 +88,23 @@
         &self,
         pool: &[Arc<Upstream>],
         upstream: &Upstream,
+        route: &RouteName,
         seen: Seen,
         load: Option<u64>,
     ) {
         let now = Instant::now();
-        let mut healths = self.lock();
+        let observations = &mut *self.lock();
+        let healths = &mut observations.healths;
         let Some(health) = healths.get_mut(&upstream.gate) else {
             return;
         };
         health.observe(seen, now);
+        if let Seen::Good(latency) = seen {
+            if let Some(usual) = observations.works.get(route) {
+                health.observe_pace(latency, usual);
+            }
+            observations.works.observe(route, latency);
+        }
         if let Some(percent) = load {
             health.report(percent as f64 / 100.0, now);
         }
@@ -105,7 +124,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Health>> {
+    fn lock(&self) -> MutexGuard<'_, Observations> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -254,6 +254,7 @@
     Candidate {
         nearness,
         load,
+        pace: 1.0,
         weight: 1.0,
         standing: Standing::Open,
         tried: false,
@@ -286,6 +287,7 @@
 fn cold_candidate_gets_its_weight() {
     let warm = candidate(Nearness::Domain, 0.0);
     let cold = Candidate {
+        pace: 1.0,
         weight: 0.25,
         ..warm
     };
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -87,6 +87,7 @@
             key.clone(),
             Arc::new(OwnDialect),
             metrics.clone(),
+            log(),
         );
         let ingress = Ingress::open(
             Arc::clone(&table),
@@ -106,7 +107,7 @@
             backend,
             registry,
             ingress: ingress.spawn(bind().await).expect("an address"),
-            gate: gate.spawn(gate_listener, log()).expect("an address"),
+            gate: gate.spawn(gate_listener).expect("an address"),
             upstream,
             announcement,
         }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -176,6 +176,7 @@
             key.clone(),
             dialect.clone(),
             metrics.clone(),
+            log.clone(),
         );
         let ingress = Ingress::open(
             Arc::clone(&table),
@@ -207,7 +208,7 @@
             addresses,
             stop_limit: settings.upstream.stop_limit.duration(),
             ingress: ingress.spawn(listeners.caller)?,
-            gate: gate.spawn(listeners.gate, log.clone())?,
+            gate: gate.spawn(listeners.gate)?,
             admin: api.spawn(listeners.admin)?,
             announce: admin::spawn_announce(backend, listeners.announce)?,
             table,
@@ -273,8 +274,13 @@
         record.state = UpstreamState::Absent;
         return;
     };
+    let same = record.service.as_ref() == Some(&announced.service);
     record.service = Some(announced.service.clone());
     record.slots = announced.slots;
+    // The others let a warming upstream's share grow by themselves; its end is no news to them.
+    if same && record.state == UpstreamState::Warming && announced.state == Readiness::Ready {
+        return;
+    }
     record.state = match announced.state {
         Readiness::Warming => UpstreamState::Warming,
         Readiness::Ready => UpstreamState::Ready,
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -107,6 +107,7 @@
             settings.fleet.key.clone(),
             Arc::clone(&ports.dialect),
             metrics.clone(),
+            log.clone(),
         );
         let ingress = Ingress::open(
             Arc::clone(&table),
@@ -136,7 +137,7 @@
             addresses,
             stop_limit: settings.upstream.stop_limit,
             ingress: ingress.spawn(listeners.caller)?,
-            gate: gate.spawn(listeners.gate, log.clone())?,
+            gate: gate.spawn(listeners.gate)?,
             table,
             follower,
             stopping,
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -23,10 +23,10 @@
 
 /// Least time between two reads of the configuration while it changes. Accepted versions are to be in
 /// force within 2 s.
-const CONFIG_GAP: Duration = Duration::from_millis(500);
+const CONFIG_GAP: Duration = Duration::from_millis(800);
 
 /// Least time between two reads of the records while they change.
-const MEMBERS_GAP: Duration = Duration::from_millis(400);
+const MEMBERS_GAP: Duration = Duration::from_millis(700);
 
 /// Time between two exchanges with a random peer while the store does not answer.
 const AWAY_EXCHANGE: Duration = Duration::from_millis(500);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use crate::throttle::Throttle;
 use daemon::{LogFormat, LogLevel, LogSettings};
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
@@ -33,7 +34,7 @@
     let queue = slog_async::Async::new(drain.fuse())
         .chan_size(QUEUE)
         .build();
-    let filter = LevelFilter::new(queue, slog_level(level));
+    let filter = LevelFilter::new(Throttle::new(queue), slog_level(level));
     Logger::root(filter.fuse(), o!())
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 mod interrupt;
 mod logging;
 mod output;
+mod throttle;
 
 use std::process::ExitCode;
 
