--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -101,6 +101,74 @@
     assert_eq!(until, now + millis(200));
 }
 
+/// Returns a call of 100 ms that is worth most within `aim` milliseconds.
+fn aimed(priority: Priority, aim: u64, now: Instant) -> Ticket {
+    Ticket {
+        priority,
+        deadline: now + 10 * SECOND,
+        aim: Some(now + millis(aim)),
+        work: Some(millis(100)),
+    }
+}
+
+#[test]
+fn flood_is_answered_by_its_aim_or_refused_at_once() {
+    // Twenty times what one slot can run by the aim: calls of 100 ms, worth most within 500 ms.
+    let now = Instant::now();
+    let mut queue = busy(1, millis(100), now);
+    let entries: Vec<Entry<u32>> = (1..=60)
+        .map(|name| queue.enter(aimed(Priority::Normal, 500, now), name, now))
+        .collect();
+    let waits = entries
+        .iter()
+        .filter(|entry| matches!(entry, Entry::Wait { .. }))
+        .count();
+    // 500 ms less 130 ms for the call itself leaves room for three waits of 100 ms.
+    assert_eq!(waits, 3);
+    assert!(
+        entries[3..]
+            .iter()
+            .all(|entry| *entry == Entry::Shed(Shed::Full))
+    );
+    // Without an aim the same flood waits until the room of the queue is used up.
+    let mut blind = busy(1, millis(100), now);
+    let first = blind.enter(ticket(Priority::Normal, now + 10 * SECOND), 1, now);
+    assert!(matches!(first, Entry::Wait { .. }));
+}
+
+#[test]
+fn urgent_call_displaces_those_that_would_then_be_late() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(100), now);
+    for name in 1..=3 {
+        queue.enter(aimed(Priority::Low, 500, now), name, now);
+    }
+    let urgent = queue.enter(aimed(Priority::High, 500, now), 4, now);
+    assert!(matches!(urgent, Entry::Wait { shed, .. } if shed == [3]));
+    let order: Vec<u32> = (0..3).flat_map(|_| queue.leave(now).run).collect();
+    assert_eq!(order, [4, 1, 2]);
+}
+
+#[test]
+fn nested_call_goes_before_one_of_its_rank_with_more_time() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(20), now);
+    queue.enter(aimed(Priority::Normal, 800, now), 1, now);
+    queue.enter(aimed(Priority::Normal, 200, now), 2, now);
+    assert_eq!(queue.leave(now).run, [2]);
+}
+
+#[test]
+fn upstream_too_slow_for_the_aim_still_takes_a_short_queue() {
+    let now = Instant::now();
+    let mut queue = busy(2, millis(100), now);
+    let slow = Ticket {
+        work: Some(millis(900)),
+        ..aimed(Priority::Normal, 500, now)
+    };
+    assert!(matches!(queue.enter(slow, 1, now), Entry::Wait { .. }));
+}
+
 #[test]
 fn resized_queue_counts_the_calls_that_run() {
     let now = Instant::now();
@@ -277,7 +345,9 @@
     let near = candidate(Nearness::Domain, 0.5);
     let far = candidate(Nearness::Far, 0.0);
     assert_eq!(shares(&[near, far]), [10_000, 0]);
-    let loaded = candidate(Nearness::Domain, 0.9);
+    let nearly = candidate(Nearness::Domain, 0.9);
+    assert_eq!(shares(&[nearly, far]), [10_000, 0]);
+    let loaded = candidate(Nearness::Domain, 1.0);
     let region = candidate(Nearness::Region, 0.1);
     let shares = shares(&[loaded, region, far]);
     assert!(shares[1] > 7_000 && shares[2] < 2_500, "{shares:?}");
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -42,6 +42,8 @@
     pub admin: SocketAddr,
     /// Announcements of the upstream.
     pub announce: SocketAddr,
+    /// Readiness, where it has an address of its own.
+    pub ready: Option<SocketAddr>,
 }
 
 /// How a planned stop went.
@@ -100,6 +102,10 @@
             fleet: self.fleet.local_addr()?,
             admin: self.admin.local_addr()?,
             announce: self.announce.local_addr()?,
+            ready: match &self.ready {
+                Some(ready) => Some(ready.local_addr()?),
+                None => None,
+            },
         })
     }
 }
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -152,6 +152,11 @@
         self.addresses
     }
 
+    /// Returns what the daemon serves.
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
     /// Stops as planned: is not ready any more, lets callers and then daemons go elsewhere, and
     /// finishes the calls in flight.
     pub async fn stop(self) -> StopReport {
@@ -171,6 +176,7 @@
         for task in self.tasks {
             task.abort();
         }
+        self.follower.close();
         let cut = ingress_cut + gate_cut;
         info!(self.log, "daemon stopped"; "cut" => cut);
         StopReport { cut }
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -130,14 +130,21 @@
     }
 }
 
-impl Drop for Follower {
-    fn drop(&mut self) {
+impl Follower {
+    /// Ends every task and gives the listener back, whoever else still holds the follower.
+    pub fn close(&self) {
         for task in &self.tasks {
             task.abort();
         }
     }
 }
 
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
 impl Shared {
     /// Notes whether the store answers, and logs each change.
     fn note(&self, outcome: Result<(), &Error>) {
