Starve no route at a full upstream, and let nested calls wait for their parents

A route whose share of admitted calls falls behind now goes earlier, though never before the calls with the nearest aim, most of which other running calls make. Retries of the fleet share one slack: each daemon holds its part by the number of daemons alive.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -7,9 +7,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
+use crate::kinds::Kinds;
 use crate::limit::{Reply, Sample};
 use crate::queue::{Crowd, Entry, Queue, Rank, Shed, Ticket};
-use crate::work::Works;
 
 /// What a waiting call is told.
 type Verdict = Result<Slot, Refused>;
@@ -44,16 +44,30 @@
 #[derive(Debug)]
 struct State {
     queue: Queue<oneshot::Sender<Verdict>>,
-    works: Works,
+    kinds: Kinds,
 }
 
 impl State {
-    fn ticket(&self, request: &Request<'_>) -> Ticket {
+    fn ticket(&mut self, request: &Request<'_>) -> Ticket {
+        let boost = request.route.zip(request.aim).map(|(route, aim)| {
+            let left = aim.saturating_duration_since(Instant::now());
+            self.kinds.boost(route, left)
+        });
         Ticket {
             priority: request.priority,
             deadline: request.deadline,
             aim: request.aim,
-            work: request.route.and_then(|route| self.works.get(route)),
+            work: request.route.and_then(|route| self.kinds.work(route)),
+            boost: boost.unwrap_or_default(),
+            patient: request
+                .route
+                .is_some_and(|route| self.kinds.is_nearest(route)),
+        }
+    }
+
+    fn decided(&mut self, request: &Request<'_>, admitted: bool) {
+        if let Some(route) = request.route {
+            self.kinds.decided(route, admitted);
         }
     }
 
@@ -122,7 +136,7 @@
         };
         state.queue.observe(sample, Instant::now());
         if let Some(route) = route.filter(|_| reply == Reply::Ran) {
-            state.works.observe(route, latency);
+            state.kinds.observe(route, latency);
         }
     }
 }
@@ -132,7 +146,7 @@
     pub(crate) fn new() -> Self {
         Self(Arc::new(Mutex::new(State {
             queue: Queue::new(0),
-            works: Works::default(),
+            kinds: Kinds::default(),
         })))
     }
 
@@ -150,6 +164,7 @@
     pub(crate) fn enter_now(&self, request: &Request<'_>) -> Verdict {
         let mut state = self.lock();
         if state.queue.enter_now() {
+            state.decided(request, true);
             return Ok(self.slot());
         }
         let ticket = state.ticket(request);
@@ -158,6 +173,12 @@
 
     /// Takes a slot, and waits for one as long as there is hope.
     pub(crate) async fn enter(&self, request: &Request<'_>) -> Verdict {
+        let verdict = self.wait(request).await;
+        self.lock().decided(request, verdict.is_ok());
+        verdict
+    }
+
+    async fn wait(&self, request: &Request<'_>) -> Verdict {
         let (waiter, verdict) = oneshot::channel();
         let (place, until) = {
             let mut state = self.lock();
@@ -178,7 +199,7 @@
         if let Ok(Ok(verdict)) = verdict {
             return verdict;
         }
-        let state = self.lock();
+        let mut state = self.lock();
         let ticket = state.ticket(request);
         Err(state.refuse(Shed::Full, &ticket))
     }
--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -5,7 +5,7 @@
 
 use model::{Service, ServiceName};
 
-/// Retries that a budget holds at most, and at its start.
+/// Retries that a budget holds at most where the fleet's share is not known.
 const MAX_RETRIES: u32 = 10;
 
 /// Parts of one retry, so that a budget is a whole number.
@@ -18,21 +18,29 @@
 #[derive(Debug)]
 pub struct Budget {
     parts: u32,
+    /// Retries that it holds at most.
+    room: u32,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            parts: MAX_RETRIES * PARTS,
-        }
+        Self::new(MAX_RETRIES)
     }
 }
 
 impl Budget {
+    /// Returns a full budget that holds `room` retries.
+    pub fn new(room: u32) -> Self {
+        Self {
+            parts: room * PARTS,
+            room,
+        }
+    }
+
     /// Notes a first try, which earns `percent` of a retry.
     pub fn earn(&mut self, percent: u32) {
         let parts = self.parts.saturating_add(percent);
-        self.parts = parts.min(MAX_RETRIES * PARTS);
+        self.parts = parts.min(self.room * PARTS);
     }
 
     /// Takes one retry; returns whether there was one left.
@@ -45,19 +53,36 @@
             None => false,
         }
     }
-}
 
-impl Budget {
     /// Gives back a retry that did not reach an upstream.
     pub fn refund(&mut self) {
         self.earn(PARTS);
     }
+
+    /// Changes how many retries the budget holds at most.
+    pub fn resize(&mut self, room: u32) {
+        self.room = room;
+        self.parts = self.parts.min(room * PARTS);
+    }
+}
+
+/// Returns how many of the `slack` retries that the whole fleet may take at once are this daemon's, one
+/// of `daemons`. Each has one at least, so that a large fleet takes no more than one each at once.
+pub fn share(slack: u32, daemons: usize) -> u32 {
+    (slack / daemons.max(1) as u32).max(1)
 }
 
 /// Budgets of all services.
 #[derive(Debug, Default)]
 pub struct Budgets(Mutex<HashMap<ServiceName, Budget>>);
 
+impl Budgets {
+    /// Changes how many retries each budget holds at most.
+    pub fn resize(&self, service: &Service, room: u32) {
+        self.with(&service.name, |budget| budget.resize(room));
+    }
+}
+
 impl Budgets {
     /// Notes a first try of `service`.
     pub fn earn(&self, service: &Service) {
--- a/crates/call/src/ingress.rs
+++ b/crates/call/src/ingress.rs
@@ -40,6 +40,9 @@
     pub service: Option<ServiceName>,
     /// Key that the daemons of the fleet share.
     pub key: Secret,
+    /// Retries that all daemons together may take at once for each service; a fixed number each where
+    /// it is absent.
+    pub retry_slack: Option<u32>,
     /// How callers speak.
     pub dialect: Arc<dyn Dialect>,
 }
@@ -59,6 +62,7 @@
             },
             service: settings.service,
             key: settings.key,
+            retry_slack: settings.retry_slack,
         };
         Arc::new(Self {
             table,
@@ -118,7 +122,8 @@
     ) -> Result<Response<Body>, Refusal> {
         let (parts, body) = request.into_parts();
         let turn = parts.extensions.get::<Turn>().cloned();
-        let call = Call::open(parts, self.table.snapshot(), &*self.dialect, id, started)?;
+        let mut call = Call::open(parts, self.table.snapshot(), &*self.dialect, id, started)?;
+        call.daemons = self.table.members().live();
         if let Some(turn) = turn.filter(|_| !call.idempotent) {
             // Were an answer before it to close the connection, the caller would send it again.
             turn.wait().await;
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -17,6 +17,7 @@
 mod ingress;
 mod intake;
 pub mod keys;
+pub mod kinds;
 pub mod limit;
 mod links;
 mod metrics;
@@ -31,7 +32,6 @@
 mod serve;
 mod tries;
 mod watch;
-pub mod work;
 
 pub use backend::{Announcement, Backend, Readiness};
 pub use dialect::{Dialect, Envelope, Judgement, OwnDialect};
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -26,6 +26,9 @@
 /// still come by its aim: about four of five calls take less.
 const WORK_MARGIN: f64 = 1.3;
 
+/// Wait of a call whose deadline counts for more than its aim, as a share of the time that it can spare.
+const PATIENT_SHARE: f64 = 0.3;
+
 /// Wait that is always allowed, as a share of the time that the upstream takes for the call. Where
 /// the upstream itself is too slow for the aim, its answers are late but wanted.
 const MIN_WAIT_SHARE: f64 = 0.25;
@@ -50,6 +53,10 @@
     pub aim: Option<Instant>,
     /// Time that the upstream takes for calls of its route, where that is known.
     pub work: Option<Duration>,
+    /// By how much it goes before others of its priority.
+    pub boost: Duration,
+    /// Whether an answer by the deadline counts for more than one by the aim.
+    pub patient: bool,
 }
 
 /// Place of a call in the order of admission: the highest priority, then the earliest aim or, without
@@ -261,7 +268,7 @@
     fn rank(&self, ticket: &Ticket) -> Rank {
         Rank {
             priority: Reverse(ticket.priority),
-            due: ticket.aim.unwrap_or(ticket.deadline),
+            due: ticket.aim.unwrap_or(ticket.deadline) - ticket.boost,
             number: self.number,
         }
     }
@@ -278,6 +285,10 @@
             return full.mul_f64(PATIENCE).max(MIN_PATIENCE);
         };
         let work = self.work(ticket);
+        if ticket.patient {
+            let left = ticket.deadline.saturating_duration_since(now);
+            return left.saturating_sub(work).mul_f64(PATIENT_SHARE);
+        }
         let left = aim.saturating_duration_since(now);
         let spare = left.saturating_sub(work.mul_f64(WORK_MARGIN));
         spare.max(work.mul_f64(MIN_WAIT_SHARE)).max(MIN_PATIENCE)
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -54,6 +54,8 @@
     aim: Option<Instant>,
     /// Whether it may run more than once.
     pub(crate) idempotent: bool,
+    /// Daemons that share the fleet's retries.
+    pub(crate) daemons: usize,
 }
 
 impl Call {
@@ -107,6 +109,7 @@
                 .objective
                 .map(|objective| started + objective.duration()),
             idempotent,
+            daemons: 1,
             route,
         })
     }
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -14,7 +14,7 @@
 
 use crate::body::{Body, Holding, boxed, empty};
 use crate::bounds::timed;
-use crate::budget::Budgets;
+use crate::budget::{self, Budgets};
 use crate::header::{LOAD, RESERVATION, number};
 use crate::health::Seen;
 use crate::links::Links;
@@ -70,6 +70,8 @@
     pub(crate) service: Option<ServiceName>,
     /// Key of the fleet.
     pub(crate) key: Secret,
+    /// Retries that all daemons together may take at once for each service.
+    pub(crate) retry_slack: Option<u32>,
 }
 
 /// Sends calls to the gates of upstreams.
@@ -108,6 +110,10 @@
     pub(crate) async fn send(&self, call: &Call, mut payload: Payload) -> Tried {
         let index = choose::pool(&call.route, &mut rand::rng());
         let pool = call.snapshot.pool(index);
+        if let Some(slack) = self.origin.retry_slack {
+            let room = budget::share(slack, call.daemons);
+            self.budgets.resize(&pool.service, room);
+        }
         self.budgets.earn(&pool.service);
         let mut progress = Progress::default();
         let mut last: Option<Refusal> = None;
--- a/crates/call/src/watch.rs
+++ b/crates/call/src/watch.rs
@@ -11,7 +11,7 @@
 
 use crate::choose::{Candidate, Nearness};
 use crate::health::{Health, Seen, Standing, may_set_aside};
-use crate::work::Works;
+use crate::kinds::Kinds;
 
 /// Upstreams observed at most; the one called longest ago is forgotten first.
 const MAX_UPSTREAMS: usize = 32_768;
@@ -37,7 +37,7 @@
 struct Observations {
     healths: HashMap<SocketAddr, Health>,
     /// Time that the calls of each route take, at whatever upstream.
-    works: Works,
+    kinds: Kinds,
 }
 
 impl Watch {
@@ -100,10 +100,10 @@
         };
         health.observe(seen, now);
         if let Seen::Good(latency) = seen {
-            if let Some(usual) = observations.works.get(route) {
+            if let Some(usual) = observations.kinds.work(route) {
                 health.observe_pace(latency, usual);
             }
-            observations.works.observe(route, latency);
+            observations.kinds.observe(route, latency);
         }
         if let Some(percent) = load {
             health.report(percent as f64 / 100.0, now);
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use call::budget::Budget;
+use call::budget::{Budget, share};
 use call::choose::{self, Candidate, Nearness};
 use call::health::{Health, Seen, Standing, may_set_aside};
 use call::keys::{Entry as KeyEntry, Fate, KEY_WINDOW, KeyTable, MAX_KEYS};
+use call::kinds::Kinds;
 use call::limit::{Limit, Reply, Sample};
 use call::queue::{Entry, Queue, Shed, Ticket};
 use call::retry::{is_idempotent, may_retry};
 use call::{Outcome, Refusal, RefusalKind};
 use http::Method;
-use model::{Priority, Rules};
+use model::{Priority, RouteName, Rules};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -29,6 +30,8 @@
         deadline,
         aim: None,
         work: None,
+        boost: Duration::ZERO,
+        patient: false,
     }
 }
 
@@ -108,6 +111,8 @@
         deadline: now + 10 * SECOND,
         aim: Some(now + millis(aim)),
         work: Some(millis(100)),
+        boost: Duration::ZERO,
+        patient: false,
     }
 }
 
@@ -158,6 +163,113 @@
     assert_eq!(queue.leave(now).run, [2]);
 }
 
+/// Plays a slot that short calls alone could fill, and long ones beside them; returns the share of each
+/// that is admitted, short and long.
+fn mixed_flood(fair: bool) -> (f64, f64) {
+    let (short, long): (RouteName, RouteName) = (
+        "short".parse().expect("a valid name"),
+        "long".parse().expect("a valid name"),
+    );
+    let mut now = Instant::now();
+    let mut kinds = Kinds::default();
+    let mut queue: Queue<bool> = Queue::new(1);
+    let mut ends: Option<Instant> = None;
+    let mut asked = [0u32; 2];
+    let mut ran = [0u32; 2];
+    for step in 0..20_000u32 {
+        now += millis(5);
+        if ends.is_some_and(|end| end <= now) {
+            let next = queue.leave(now);
+            ends = next.run.first().map(|is_long| {
+                ran[usize::from(*is_long)] += 1;
+                kinds.decided(if *is_long { &long } else { &short }, true);
+                now + millis(if *is_long { 60 } else { 20 })
+            });
+        }
+        // A short call each 20 ms and a long one each 100 ms: 1.6 times what the slot can run.
+        for (every, is_long) in [(4, false), (20, true)] {
+            if !step.is_multiple_of(every) {
+                continue;
+            }
+            let route = if is_long { &long } else { &short };
+            asked[usize::from(is_long)] += 1;
+            let aim = millis(if is_long { 300 } else { 100 });
+            let ticket = Ticket {
+                priority: Priority::Normal,
+                deadline: now + SECOND,
+                aim: Some(now + aim),
+                work: Some(millis(if is_long { 60 } else { 20 })),
+                boost: if fair {
+                    kinds.boost(route, aim)
+                } else {
+                    Duration::ZERO
+                },
+                patient: false,
+            };
+            match queue.enter(ticket, is_long, now) {
+                Entry::Run => {
+                    ran[usize::from(is_long)] += 1;
+                    kinds.decided(route, true);
+                    ends = Some(now + millis(if is_long { 60 } else { 20 }));
+                }
+                Entry::Shed(_) => kinds.decided(route, false),
+                Entry::Wait { shed, .. } => {
+                    for is_long in shed {
+                        kinds.decided(if is_long { &long } else { &short }, false);
+                    }
+                }
+            }
+            let sample = Sample {
+                latency: millis(28),
+                reply: Reply::Ran,
+                running: 1,
+            };
+            queue.observe(sample, now);
+        }
+    }
+    let share = |kind: usize| f64::from(ran[kind]) / f64::from(asked[kind]);
+    (share(0), share(1))
+}
+
+#[test]
+fn no_kind_of_calls_is_starved_by_one_with_nearer_aims() {
+    // A kind of calls that is served a quarter as often as the others counts as starved.
+    let (short, long) = mixed_flood(true);
+    assert!(long > 0.25 * short, "short {short}, long {long}");
+    let (short, long) = mixed_flood(false);
+    assert!(long < 0.25 * short, "short {short}, long {long}");
+}
+
+#[test]
+fn starved_calls_do_not_go_before_those_with_the_nearest_aim() {
+    let name = |text: &str| -> RouteName { text.parse().expect("a valid name") };
+    let (nested, long) = (name("nested"), name("long"));
+    let mut kinds = Kinds::default();
+    for _ in 0..100 {
+        kinds.decided(&nested, true);
+        kinds.decided(&long, false);
+    }
+    assert_eq!(kinds.boost(&nested, millis(150)), Duration::ZERO);
+    let boost = kinds.boost(&long, millis(600));
+    assert!(boost > Duration::ZERO);
+    assert!(millis(600) - boost > millis(150), "{boost:?}");
+}
+
+#[test]
+fn nested_call_waits_beyond_its_aim_rather_than_lose_the_work_of_its_parent() {
+    let now = Instant::now();
+    let mut queue = busy(1, millis(100), now);
+    let nested = Ticket {
+        deadline: now + millis(500),
+        patient: true,
+        ..aimed(Priority::Normal, 150, now)
+    };
+    // 400 ms to spare: a wait of 100 ms is allowed, one of 300 ms is not.
+    assert!(matches!(queue.enter(nested, 1, now), Entry::Wait { .. }));
+    queue.enter(nested, 2, now);
+    assert_eq!(queue.enter(nested, 3, now), Entry::Shed(Shed::Full));
+}
+
 #[test]
 fn upstream_too_slow_for_the_aim_still_takes_a_short_queue() {
     let now = Instant::now();
@@ -282,6 +394,24 @@
     assert_eq!(spent, 200);
 }
 
+#[test]
+fn daemons_together_take_no_more_retries_at_once_than_the_fleet_may() {
+    for (slack, daemons) in [(64, 14), (56, 10), (204, 82), (64, 1)] {
+        let mut budgets: Vec<Budget> = (0..daemons)
+            .map(|_| Budget::new(share(slack, daemons)))
+            .collect();
+        let taken: u32 = budgets
+            .iter_mut()
+            .map(|budget| (0..1_000).filter(|_| budget.spend()).count() as u32)
+            .sum();
+        assert!(taken <= slack, "{taken} of {slack}");
+    }
+    // A budget that shrinks, as daemons join, gives up what it held.
+    let mut budget = Budget::new(64);
+    budget.resize(4);
+    assert_eq!((0..100).filter(|_| budget.spend()).count(), 4);
+}
+
 #[test]
 fn key_is_remembered_for_its_window_and_forgotten_if_not_run() {
     let now = Instant::now();
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -96,6 +96,7 @@
                 region: "cz-morava".parse().expect("a valid name"),
                 service: None,
                 key,
+                retry_slack: None,
                 dialect: Arc::new(OwnDialect),
             },
             metrics,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -191,6 +191,7 @@
                 region: settings.vm.region.clone(),
                 service: settings.vm.service.clone(),
                 key,
+                retry_slack: None,
                 dialect,
             },
             metrics,
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -116,6 +116,7 @@
                 region: settings.vm.region.clone(),
                 service: settings.vm.service.clone(),
                 key: settings.fleet.key.clone(),
+                retry_slack: Some(settings.fleet.retry_slack),
                 dialect: ports.dialect,
             },
             metrics,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,6 @@
 pub use direct::{DirectDaemon, Front, Ports, ReadyCheck};
 pub use error::{SettingsError, SpawnError};
 pub use settings::{
-    FleetSettings, ListenSettings, LogFormat, LogLevel, LogSettings, OperatorSettings, Settings,
-    SettingsProblem, StoreProtocol, StoreSettings, UpstreamSettings, VmSettings,
+    FleetSettings, ListenSettings, LogFormat, LogLevel, LogOutput, LogSettings, OperatorSettings,
+    Settings, SettingsProblem, StoreProtocol, StoreSettings, UpstreamSettings, VmSettings,
 };
--- a/crates/daemon/src/settings/log.rs
+++ b/crates/daemon/src/settings/log.rs
@@ -26,7 +26,17 @@
     Debug,
 }
 
-/// Logs, written to standard error.
+/// Where the lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogOutput {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// Logs.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
@@ -34,6 +44,8 @@
     pub format: LogFormat,
     /// Least important lines that are written.
     pub level: LogLevel,
+    /// Where the lines go.
+    pub output: LogOutput,
 }
 
 impl Default for LogSettings {
@@ -41,6 +53,7 @@
         Self {
             format: LogFormat::Terminal,
             level: LogLevel::Info,
+            output: LogOutput::Stderr,
         }
     }
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -15,7 +15,7 @@
 pub use check::SettingsProblem;
 pub use fleet::FleetSettings;
 pub use listen::ListenSettings;
-pub use log::{LogFormat, LogLevel, LogSettings};
+pub use log::{LogFormat, LogLevel, LogOutput, LogSettings};
 pub use operator::OperatorSettings;
 pub use store::{StoreProtocol, StoreSettings};
 pub use upstream::UpstreamSettings;
