Leave a daemon's last word in the store, and log each decision on a call

Peers read changes together, so they saw only a record that was gone, took its daemon for one that the store had lost, and kept sending to it until two probes failed: 199 members lapsed in 17 planned stops. The record now stays until its lease lapses, which also saves the store a call and each peer a change. Ruled out by the logs: kills (none), silent links (no gate out of reach), the store (it answered).

Tries that fail, answers that are late, failures of upstreams, and upstreams set aside are logged with request, route, version, tries and time left; calls that are not admitted with the queue's figures.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -160,6 +160,11 @@
         self.lock().queue.load()
     }
 
+    /// Returns how many calls run and wait.
+    pub(crate) fn crowd(&self) -> Crowd {
+        self.lock().queue.crowd()
+    }
+
     /// Takes a slot if one is free now.
     pub(crate) fn enter_now(&self, request: &Request<'_>) -> Verdict {
         let mut state = self.lock();
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -109,6 +109,8 @@
                     gate.metrics.refused(&refusal);
                     refusal.to_daemon()
                 });
+                let crowd = gate.admission.crowd();
+                gate.metrics.waiting.set(i64::from(crowd.waiting));
                 let load = HeaderValue::from(gate.admission.load());
                 response.headers_mut().insert(LOAD, load);
                 response
@@ -164,6 +166,7 @@
             }
         };
         note(&mut claim, Some(Fate::Ran));
+        self.metrics.stage("upstream", started.elapsed());
         running
             .slot
             .observe(route.as_ref(), started.elapsed(), reply(response.status()));
@@ -283,6 +286,7 @@
             let slot = self.admission.enter_now(&asked).map_err(refuse)?;
             return Ok((self.running(slot), announced));
         }
+        let arrived = Instant::now();
         let entered = self.admission.enter(&asked);
         let mut entered = std::pin::pin!(entered);
         let slot = loop {
@@ -298,6 +302,7 @@
                 }
             }
         };
+        self.metrics.stage("waiting", arrived.elapsed());
         let running = self.running(slot);
         let announced = self.check_backend(headers)?;
         Ok((running, announced))
--- a/crates/call/src/health.rs
+++ b/crates/call/src/health.rs
@@ -76,6 +76,19 @@
     Aside,
 }
 
+/// What speaks against an upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Evidence {
+    /// Calls observed.
+    pub samples: u32,
+    /// Failures in a row.
+    pub streak: u32,
+    /// Share of failures.
+    pub failures: f64,
+    /// Time that calls take there, as a multiple of what they take at any upstream.
+    pub pace: f64,
+}
+
 /// Why and until when an upstream is set aside.
 #[derive(Debug, Clone, Copy)]
 struct Aside {
@@ -189,6 +202,16 @@
         self.failures >= MAX_FAILURES || slow
     }
 
+    /// Returns what is known of the upstream.
+    pub fn evidence(&self) -> Evidence {
+        Evidence {
+            samples: self.samples,
+            streak: self.streak,
+            failures: self.failures,
+            pace: self.pace,
+        }
+    }
+
     /// Sets the upstream aside, each time for longer.
     pub fn set_aside(&mut self, now: Instant) {
         let time = ASIDE_MIN * 2u32.saturating_pow(self.times.min(10));
--- a/crates/call/src/ingress.rs
+++ b/crates/call/src/ingress.rs
@@ -66,7 +66,7 @@
         };
         Arc::new(Self {
             table,
-            dispatcher: Dispatcher::new(origin, metrics.clone()),
+            dispatcher: Dispatcher::new(origin, metrics.clone(), log.clone()),
             dialect: settings.dialect,
             metrics,
             log,
@@ -96,8 +96,10 @@
             Ok(response) => response,
             Err(refusal) => {
                 info!(self.log, "call refused"; "request" => id.to_str().unwrap_or("unprintable"),
+                    "version" => %self.table.snapshot().version,
                     "kind" => refusal.kind.as_str(), "outcome" => %refusal.outcome,
-                    "reason" => %refusal);
+                    "reason" => %refusal, "took_ms" => started.elapsed().as_millis() as u64,
+                    "retry_after_ms" => refusal.retry_after().map(|pause| pause.as_millis() as u64));
                 self.metrics.refused(&refusal);
                 refusal.response(&*self.dialect)
             }
--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -21,6 +21,10 @@
     pub(crate) duration: HistogramVec,
     /// Calls in flight at the gate.
     pub(crate) in_flight: IntGauge,
+    /// Calls that wait at the gate.
+    pub(crate) waiting: IntGauge,
+    /// Time of each stage of a call, in seconds.
+    pub(crate) stages: HistogramVec,
 }
 
 impl Metrics {
@@ -40,6 +44,11 @@
             "Time from a call's arrival to the head of its answer.",
         )
         .buckets(DURATION_BUCKETS.to_vec());
+        let stages = HistogramOpts::new(
+            "sardinestall_stage_duration_seconds",
+            "Time of one stage of a call at the gate: waiting for a slot, or at the upstream.",
+        )
+        .buckets(DURATION_BUCKETS.to_vec());
         let metrics = Self {
             calls: IntCounterVec::new(calls, &["code"])?,
             refusals: IntCounterVec::new(refusals, &["kind", "outcome"])?,
@@ -52,7 +61,14 @@
                 "sardinestall_gate_calls_in_flight",
                 "Calls that the upstream beside this daemon runs.",
             )?,
+            waiting: IntGauge::new(
+                "sardinestall_gate_calls_waiting",
+                "Calls that wait for a slot of the upstream beside this daemon.",
+            )?,
+            stages: HistogramVec::new(stages, &["stage"])?,
         };
+        registry.register(Box::new(metrics.waiting.clone()))?;
+        registry.register(Box::new(metrics.stages.clone()))?;
         registry.register(Box::new(metrics.calls.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
@@ -61,6 +77,12 @@
         Ok(metrics)
     }
 
+    /// Notes how long one stage of a call took.
+    pub(crate) fn stage(&self, stage: &str, time: std::time::Duration) {
+        let histogram = self.stages.with_label_values(&[stage]);
+        histogram.observe(time.as_secs_f64());
+    }
+
     /// Counts an answer of the system's own.
     pub(crate) fn refused(&self, refusal: &crate::Refusal) {
         let labels = [refusal.kind.as_str(), refusal.outcome.as_str()];
--- a/crates/call/src/plan.rs
+++ b/crates/call/src/plan.rs
@@ -78,7 +78,12 @@
             .map_or(Next::Stop, |(_, index)| Next::Try { index, wait: true })
     }
 
-    /// Notes a try at `vm` that had to wait or not.
+    /// Returns the number of tries so far.
+    pub fn tries(&self) -> usize {
+        self.tries
+    }
+
+    /// Notes a try that may wait for a slot or not.
     pub fn tried(&mut self, wait: bool) {
         self.tries += 1;
         self.waited |= wait;
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -44,6 +44,8 @@
 /// One call on its way.
 pub(crate) struct Call {
     parts: Parts,
+    id: HeaderValue,
+    arrived: Instant,
     /// What was in force when the call arrived.
     pub(crate) snapshot: Arc<Snapshot>,
     /// Its route.
@@ -103,6 +105,8 @@
         }
         Ok(Self {
             parts,
+            id: id.clone(),
+            arrived: started,
             snapshot,
             deadline: started + time,
             aim: rules
@@ -114,6 +118,33 @@
         })
     }
 
+    /// Returns the request's id, for the log.
+    pub(crate) fn id(&self) -> &str {
+        self.id.to_str().unwrap_or("unprintable")
+    }
+
+    /// Returns the route's name, for the log.
+    pub(crate) fn route_name(&self) -> &str {
+        self.route.route.name.as_str()
+    }
+
+    /// Returns the time since the request arrived, in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.arrived.elapsed().as_millis() as u64
+    }
+
+    /// Returns the time left until the deadline, in milliseconds.
+    pub(crate) fn left_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.as_millis() as u64
+    }
+
+    /// Returns by how much an answer at `now` misses the route's objective.
+    pub(crate) fn late_by(&self, now: Instant) -> Option<Duration> {
+        let late = now.saturating_duration_since(self.aim?);
+        (!late.is_zero()).then_some(late)
+    }
+
     /// Returns the request as the gate of `upstream` gets it.
     ///
     /// # Errors
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::Response;
+use http::{Response, StatusCode};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use model::{Secret, ServiceName};
+use slog::{Logger, info};
 use table::{PoolTable, Upstream};
 use tokio::time::{Instant, timeout_at};
 
@@ -82,6 +83,7 @@
     watch: Watch,
     budgets: Budgets,
     metrics: Metrics,
+    log: Logger,
 }
 
 /// What is known of a call's tries.
@@ -96,13 +98,14 @@
 
 impl Dispatcher {
     /// Returns the dispatcher of a daemon at `origin`.
-    pub(crate) fn new(origin: Origin, metrics: Metrics) -> Self {
+    pub(crate) fn new(origin: Origin, metrics: Metrics, log: Logger) -> Self {
         Self {
             origin,
             links: Links::default(),
             watch: Watch::default(),
             budgets: Budgets::default(),
             metrics,
+            log,
         }
     }
 
@@ -126,7 +129,10 @@
                 .try_once(call, pool, &upstream, wait, &mut payload)
                 .await;
             let refusal = match ended {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.log_answer(call, &upstream, &progress, response.status());
+                    return Ok(response);
+                }
                 Err(refusal) => refusal,
             };
             if payload.overran() {
@@ -134,6 +140,7 @@
             }
             self.learn(&mut progress, pool, &upstream, &refusal);
             let go_on = self.may_go_on(call, &payload, &refusal, progress.arrivals);
+            self.log_refusal(call, &upstream, &progress, &refusal, go_on);
             last = Some(refusal);
             if !go_on {
                 break;
@@ -171,6 +178,48 @@
         }
     }
 
+    /// Logs an answer that is not what its caller hoped for.
+    fn log_answer(
+        &self,
+        call: &Call,
+        upstream: &Upstream,
+        progress: &Progress,
+        status: StatusCode,
+    ) {
+        let late = call.late_by(Instant::now());
+        let message = match late {
+            _ if status.is_server_error() => "upstream failed",
+            Some(_) => "call answered late",
+            None => return,
+        };
+        info!(self.log, "{}", message; "request" => call.id(), "route" => call.route_name(),
+            "version" => %call.snapshot.version, "upstream" => %upstream.vm,
+            "status" => status.as_u16(), "tries" => progress.plan.tries(),
+            "arrivals" => progress.arrivals + 1, "took_ms" => call.age_ms(),
+            "late_ms" => late.map(|late| late.as_millis() as u64),
+            "time_left_ms" => call.left_ms());
+    }
+
+    /// Logs a try that failed. A gate without a free slot is asked and left without a line.
+    fn log_refusal(
+        &self,
+        call: &Call,
+        upstream: &Upstream,
+        progress: &Progress,
+        refusal: &Refusal,
+        go_on: bool,
+    ) {
+        if refusal.kind == RefusalKind::Overloaded {
+            return;
+        }
+        info!(self.log, "try failed"; "request" => call.id(), "route" => call.route_name(),
+            "version" => %call.snapshot.version, "upstream" => %upstream.vm,
+            "incarnation" => %upstream.incarnation, "kind" => refusal.kind.as_str(),
+            "outcome" => %refusal.outcome, "reason" => &refusal.message,
+            "tries" => progress.plan.tries(), "arrivals" => progress.arrivals,
+            "time_left_ms" => call.left_ms(), "tried_again" => go_on);
+    }
+
     /// Returns whether a refused try may be followed by another.
     fn may_go_on(&self, call: &Call, payload: &Payload, refusal: &Refusal, arrivals: u32) -> bool {
         let rules = &call.route.route.rules;
@@ -223,8 +272,15 @@
         };
         let seen = seen(&tried, started);
         let route = &call.route.route.name;
-        self.watch
+        let aside = self
+            .watch
             .observe(&pool.upstreams, upstream, route, seen, load);
+        if let Some(aside) = aside {
+            info!(self.log, "upstream set aside"; "request" => call.id(),
+                "upstream" => %upstream.vm, "service" => pool.service.name.as_str(),
+                "failures" => format!("{:.2}", aside.failures), "streak" => aside.streak,
+                "pace" => format!("{:.2}", aside.pace), "samples" => aside.samples);
+        }
         tried
     }
 
--- a/crates/call/src/watch.rs
+++ b/crates/call/src/watch.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::choose::{Candidate, Nearness};
-use crate::health::{Health, Seen, Standing, may_set_aside};
+use crate::health::{Evidence, Health, Seen, Standing, may_set_aside};
 use crate::kinds::Kinds;
 
 /// Upstreams observed at most; the one called longest ago is forgotten first.
@@ -83,7 +83,8 @@
 
     /// Learns from a call to `upstream`, one of `pool`, and the load that its gate reported.
     ///
-    /// At most half of a pool is set aside, and never its last upstream.
+    /// At most half of a pool is set aside, and never its last upstream. Returns why, where this call
+    /// is the one after which the upstream is set aside.
     pub(crate) fn observe(
         &self,
         pool: &[Arc<Upstream>],
@@ -91,13 +92,11 @@
         route: &RouteName,
         seen: Seen,
         load: Option<u64>,
-    ) {
+    ) -> Option<Evidence> {
         let now = Instant::now();
         let observations = &mut *self.lock();
         let healths = &mut observations.healths;
-        let Some(health) = healths.get_mut(&upstream.gate) else {
-            return;
-        };
+        let health = healths.get_mut(&upstream.gate)?;
         health.observe(seen, now);
         if let Seen::Good(latency) = seen {
             if let Some(usual) = observations.kinds.work(route) {
@@ -109,19 +108,22 @@
             health.report(percent as f64 / 100.0, now);
         }
         if health.is_aside() || matches!(seen, Seen::Full | Seen::Leaving) {
-            return;
+            return None;
         }
         let peers = || pool.iter().filter_map(|peer| healths.get(&peer.gate));
         let aside = peers().filter(|peer| peer.is_aside()).count();
         if !may_set_aside(aside, pool.len()) {
-            return;
+            return None;
         }
         let median = median(peers().filter_map(Health::latency).collect());
         if let Some(health) = healths.get_mut(&upstream.gate)
             && health.is_suspect(median)
         {
+            let evidence = health.evidence();
             health.set_aside(now);
+            return Some(evidence);
         }
+        None
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -26,7 +26,7 @@
 const CALLERS_LEAVE: Duration = Duration::from_millis(2_200);
 
 /// Time that the other daemons need to hear that this one left.
-const DAEMONS_LEAVE: Duration = Duration::from_millis(600);
+const DAEMONS_LEAVE: Duration = Duration::from_millis(900);
 
 /// Answers whether a daemon takes new callers.
 pub type ReadyCheck = Arc<dyn Fn() -> bool + Send + Sync>;
@@ -101,6 +101,7 @@
             ports.format,
             log.clone(),
         )?;
+        follower.register(&registry)?;
         let follower = Arc::new(follower);
         let gate = Gate::open(
             Arc::clone(&backend),
@@ -170,7 +171,7 @@
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         self.follower.leave();
-        sleep(DAEMONS_LEAVE.min(self.stop_limit.duration() / 8)).await;
+        sleep(DAEMONS_LEAVE.min(self.stop_limit.duration() / 5)).await;
         let left = || deadline.saturating_duration_since(Instant::now());
         let (ingress_cut, gate_cut) =
             tokio::join!(self.ingress.stop(left()), self.gate.stop(left()));
--- a/crates/follow/src/config.rs
+++ b/crates/follow/src/config.rs
@@ -1,6 +1,7 @@
 //! Puts the configurations that the store or a peer holds in force.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use model::{Change, Digest, State, UnixMillis, Version};
 use slog::{Logger, info, warn};
@@ -14,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Raw {
     pub(crate) version: Version,
+    /// When it was put in force here.
+    since: Instant,
     pub(crate) value: Arc<[u8]>,
 }
 
@@ -41,6 +44,14 @@
         self.lock().clone().filter(|raw| raw.version > version)
     }
 
+    /// Returns the time since the version in force was put in force; zero before the first.
+    pub(crate) fn age(&self) -> Duration {
+        let newest = self.lock();
+        newest
+            .as_ref()
+            .map_or(Duration::ZERO, |raw| raw.since.elapsed())
+    }
+
     /// Returns the version in force.
     pub(crate) fn version(&self) -> Version {
         self.table.snapshot().version
@@ -85,6 +96,7 @@
             Ok(Applied::Now(_)) => {
                 self.keep(Raw {
                     version,
+                    since: Instant::now(),
                     value: value.into(),
                 });
                 info!(self.log, "configuration in force"; "version" => %version,
--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -139,9 +139,4 @@
     pub fn ttl(&self) -> Duration {
         self.ttl
     }
-
-    /// Returns the lease held.
-    pub fn lease(&self) -> Option<LeaseId> {
-        self.lease.map(|lease| lease.id)
-    }
 }
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use model::{Millis, Secret, Version};
+use prometheus::core::{Collector, Desc};
+use prometheus::proto::MetricFamily;
+use prometheus::{IntGauge, Registry};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use store::{Error, Put, Revision, Store};
@@ -119,12 +122,43 @@
         has_config && self.shared.members_read.load(Ordering::Relaxed)
     }
 
+    /// Registers the metrics of the version in force, of the members and of the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `registry` has them already.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        let state = State {
+            version: gauge(
+                "sardinestall_version_in_force",
+                "Version in force here; 0 before one.",
+            )?,
+            age: gauge(
+                "sardinestall_version_age_seconds",
+                "Time since the version in force was put in force here.",
+            )?,
+            members: gauge(
+                "sardinestall_members",
+                "Daemons known that have not left or expired.",
+            )?,
+            connected: gauge(
+                "sardinestall_connected",
+                "Whether the store answers: 1 or 0.",
+            )?,
+            shared: Arc::clone(&self.shared),
+        };
+        registry.register(Box::new(state))
+    }
+
     /// Returns whether the store answers.
     pub fn is_connected(&self) -> bool {
         *self.shared.answering.borrow()
     }
 
-    /// Lets the own record, which says that the daemon left, be written once more, and ends its lease.
+    /// Lets the own record, which says that the daemon left, be written once more.
+    ///
+    /// The record stays until its lease lapses: daemons that read changes together would otherwise see
+    /// only that it is gone, and take the daemon for one that the store has lost.
     pub fn leave(&self) {
         self.shared.leaving.notify_one();
     }
@@ -162,6 +196,48 @@
     }
 }
 
+/// Gauges that are read when they are asked for.
+struct State {
+    version: IntGauge,
+    age: IntGauge,
+    members: IntGauge,
+    connected: IntGauge,
+    shared: Arc<Shared>,
+}
+
+fn gauge(name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    IntGauge::new(name, help)
+}
+
+impl State {
+    fn gauges(&self) -> [&IntGauge; 4] {
+        [&self.version, &self.age, &self.members, &self.connected]
+    }
+}
+
+impl Collector for State {
+    fn desc(&self) -> Vec<&Desc> {
+        self.gauges()
+            .into_iter()
+            .flat_map(Collector::desc)
+            .collect()
+    }
+
+    fn collect(&self) -> Vec<MetricFamily> {
+        let members = self.shared.directory.table().members().live();
+        self.version
+            .set(self.shared.installer.version().get() as i64);
+        self.age.set(self.shared.installer.age().as_secs() as i64);
+        self.members.set(members as i64);
+        self.connected
+            .set(i64::from(*self.shared.answering.borrow()));
+        self.gauges()
+            .into_iter()
+            .flat_map(Collector::collect)
+            .collect()
+    }
+}
+
 /// What is followed in the store.
 #[derive(Debug)]
 enum Topic {
@@ -256,7 +332,7 @@
     }
 }
 
-/// Keeps the own record in the store until the daemon stops.
+/// Keeps the own record in the store until the daemon has said there that it leaves.
 async fn keep(shared: Arc<Shared>, ttl: Duration) {
     let mut keeper = Keeper::new(ttl, Instant::now());
     let mut own = shared.directory.table().members().subscribe();
@@ -291,11 +367,6 @@
             }
         }
     }
-    if let Some(lease) = keeper.lease()
-        && let Err(error) = shared.store.revoke(lease).await
-    {
-        info!(shared.log, "lease not ended"; "error" => %error);
-    }
 }
 
 async fn carry_out_step(
