--- a/crates/admin/src/announce.rs
+++ b/crates/admin/src/announce.rs
@@ -36,7 +36,7 @@
         ErrorPage::new(
             ErrorKind::BadRequest,
             rejection.body_text(),
-            "see docs/OPERATING.md for what an upstream announces",
+            "see docs/OPERATIONS.md for what an upstream announces",
         )
     })?;
     backend.announce(announcement);
--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -73,7 +73,7 @@
     ErrorPage::new(
         ErrorKind::NotFound,
         format!("there is nothing at `{}`", uri.path()),
-        "see docs/OPERATING.md for the calls of the API",
+        "see docs/OPERATIONS.md for the calls of the API",
     )
 }
 
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -133,7 +133,7 @@
         Self::new(
             ErrorKind::BadRequest,
             rejection.body_text(),
-            "see docs/OPERATING.md for the query that the call takes",
+            "see docs/OPERATIONS.md for the query that the call takes",
         )
     }
 }
@@ -143,7 +143,7 @@
         Self::new(
             ErrorKind::BadRequest,
             rejection.body_text(),
-            "see docs/OPERATING.md for the path of the call",
+            "see docs/OPERATIONS.md for the path of the call",
         )
     }
 }
--- a/crates/daemon/tests/api.rs
+++ b/crates/daemon/tests/api.rs
@@ -212,7 +212,7 @@
     ] {
         assert!(text.contains(line), "{line}\n{text}");
     }
-    let operating = include_str!("../../../docs/OPERATING.md");
+    let operating = include_str!("../../../docs/OPERATIONS.md");
     for line in text.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
         let (name, kind) = line.split_once(' ').expect("a name and a kind");
         assert!(name.starts_with("sardinestall_"), "{name}");
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -15,7 +15,7 @@
 
 #[test]
 fn every_command_is_described() {
-    let operating = page("docs/OPERATING.md");
+    let operating = page("docs/OPERATIONS.md");
     let help = run(&["--help"], "");
     assert!(help.status.success(), "{}", stderr(&help));
     let help = stdout(&help);
@@ -37,7 +37,7 @@
 
 #[test]
 fn every_setting_is_described_with_its_default() {
-    let operating = page("docs/OPERATING.md");
+    let operating = page("docs/OPERATIONS.md");
     let mut section = String::new();
     let mut settings = 0;
     for line in daemon::Settings::COMMENTED.lines() {
