Admit large bodies by the rate of the link, and replay loads on simulated time

A gate now takes a large body only while those before it take the link for less than 150 ms.

The crate loads replays seeded loads against admission, placing and order, with each decision and without; bench loads prints them. A daemon that starts writes its record with its upstream's first word.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,9 +1,10 @@
-//! Benchmarks on real daemons: `cargo run --release -p bench -- NAME`.
+//! Benchmarks on real daemons, and loads on simulated time: `cargo run --release -p bench -- NAME`.
 //!
 //! Build the programs first with `cargo build --release --workspace`. Each result is one line of
 //! JSON on standard output.
 
 mod call;
+mod loads;
 mod report;
 mod spread;
 
@@ -22,6 +23,8 @@
     Spread(spread::Command),
     #[command(flatten)]
     Call(call::Command),
+    /// Replays seeded loads against the decisions of the call path, on simulated time.
+    Loads(loads::LoadsArgs),
 }
 
 #[tokio::main]
@@ -29,5 +32,9 @@
     match Cli::parse().command {
         Command::Spread(command) => spread::run(command).await,
         Command::Call(command) => call::run(command).await,
+        Command::Loads(args) => {
+            loads::run(&args);
+            Ok(())
+        }
     }
 }
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,12 +1,12 @@
 //! The gate beside an upstream: admits calls and passes them to it.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
-use model::{ConnectionLimits, RouteName, Secret};
+use model::{ConnectionLimits, Rate, RouteName, Secret, Size};
 use prometheus::IntGauge;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -19,8 +19,8 @@
 use crate::connections::{Connections, InUse};
 use crate::dialect::{Dialect, Envelope, Judgement};
 use crate::header::{
-    AIM, CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, RESERVATION, RESERVE, ROUTE, SERVICE,
-    number, remove_hop, remove_own,
+    AIM, BODY, CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, RESERVATION, RESERVE, ROUTE,
+    SERVICE, number, remove_hop, remove_own,
 };
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
@@ -28,6 +28,7 @@
 use crate::request::priority;
 use crate::reserve::{ReservationId, Reservations};
 use crate::serve::{Server, ServerError};
+use crate::uplink::Uplink;
 use crate::{Metrics, Outcome, Refusal, RefusalKind};
 
 /// Time that a call may take where the ingress states none.
@@ -36,6 +37,9 @@
 /// Time beyond the deadline in which the upstream's own word on it is still awaited.
 const ANSWER_SLACK: Duration = Duration::from_millis(100);
 
+/// Largest body that the link is not asked for.
+const SMALL_BODY: Size = Size::new(4 << 10);
+
 /// The gate beside an upstream.
 #[derive(Debug)]
 pub struct Gate {
@@ -44,6 +48,7 @@
     keys: Keys,
     connections: Arc<Connections>,
     reservations: Reservations<Running>,
+    uplink: Mutex<Uplink>,
     key: Secret,
     dialect: Arc<dyn Dialect>,
     metrics: Metrics,
@@ -72,10 +77,11 @@
 impl Gate {
     /// Returns the gate in front of `backend` for a fleet that shares `key`.
     ///
-    /// Upstreams are spoken to in `dialect`.
+    /// Upstreams are spoken to in `dialect`; large bodies are admitted by the rate of `link`.
     pub fn open(
         backend: Arc<Backend>,
         key: Secret,
+        link: Option<Rate>,
         dialect: Arc<dyn Dialect>,
         metrics: Metrics,
         log: Logger,
@@ -86,6 +92,7 @@
             keys: Keys::default(),
             connections: Arc::default(),
             reservations: Reservations::default(),
+            uplink: Mutex::new(Uplink::new(link, Instant::now())),
             key,
             dialect,
             metrics,
@@ -206,6 +213,7 @@
         headers: &HeaderMap,
         deadline: Instant,
     ) -> Result<Response<Body>, Refusal> {
+        self.take_link(headers)?;
         let (running, _) = self.admit(headers, deadline).await?;
         let id = self.reservations.hold(running).to_string();
         let mut response = Response::new(empty());
@@ -215,6 +223,19 @@
         Ok(response)
     }
 
+    /// Refuses a large body while others fill the VM's link.
+    fn take_link(&self, headers: &HeaderMap) -> Result<(), Refusal> {
+        let size = number(headers, &BODY).map(Size::new);
+        if size.is_some_and(|size| size <= SMALL_BODY) {
+            return Ok(());
+        }
+        let mut uplink = self.uplink.lock().unwrap_or_else(PoisonError::into_inner);
+        uplink.take(size, Instant::now()).map_err(|pause| {
+            let message = "the link to the upstream's VM is full of other bodies; try again later";
+            Refusal::not_run(RefusalKind::Overloaded, message).with_pause(pause)
+        })
+    }
+
     /// Takes the slot that is held for a call.
     fn redeem(
         &self,
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -45,6 +45,9 @@
 /// Asks a gate to hold a slot for the call that follows.
 pub(crate) const RESERVE: HeaderName = HeaderName::from_static("sardinestall-reserve");
 
+/// Size of the body of the call that a slot is asked for, in bytes.
+pub(crate) const BODY: HeaderName = HeaderName::from_static("sardinestall-body");
+
 /// Slot that a gate holds for the call.
 pub(crate) const RESERVATION: HeaderName = HeaderName::from_static("sardinestall-reservation");
 
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod scan;
 mod serve;
 mod tries;
+pub mod uplink;
 mod watch;
 
 pub use backend::{Announcement, Backend, Readiness};
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -14,8 +14,8 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::header::{
-    AIM, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, RESERVATION, RESERVE,
-    ROUTE, SERVICE, number, remove_hop, remove_own,
+    AIM, BODY, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, PRIORITY, RESERVATION,
+    RESERVE, ROUTE, SERVICE, number, remove_hop, remove_own,
 };
 use crate::retry::is_idempotent;
 use crate::tries::Origin;
@@ -210,7 +210,9 @@
             Step::Call { .. } | Step::Reserve { .. } => {}
         }
         if matches!(step, Step::Reserve { .. }) {
-            headers.remove(CONTENT_LENGTH);
+            if let Some(size) = headers.remove(CONTENT_LENGTH) {
+                headers.insert(BODY, size);
+            }
             headers.insert(RESERVE, flag);
         }
         Ok(request)
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -10,9 +10,10 @@
 use call::limit::{Limit, Reply, Sample};
 use call::queue::{Entry, Queue, Shed, Ticket};
 use call::retry::{is_idempotent, may_retry};
+use call::uplink::Uplink;
 use call::{Outcome, Refusal, RefusalKind};
 use http::Method;
-use model::{Priority, RouteName, Rules};
+use model::{Priority, RouteName, Rules, Size};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -583,3 +584,24 @@
     rules.idempotent = Some(true);
     assert!(is_idempotent(&rules, &Method::POST));
 }
+
+#[test]
+fn narrow_link_takes_bodies_no_faster_than_it_carries_them() {
+    let mut now = Instant::now();
+    let rate = "5Mbit".parse().expect("a valid rate");
+    let mut link = Uplink::new(Some(rate), now);
+    let body = Some(Size::new(60_000));
+    // Forty bodies of 60 kB a second ask for 19 Mbit a second.
+    let mut taken = 0;
+    for _ in 0..400 {
+        match link.take(body, now) {
+            Ok(()) => taken += 1,
+            Err(pause) => assert!(pause <= millis(120), "{pause:?}"),
+        }
+        now += millis(25);
+    }
+    // Ten seconds carry 104 bodies at the whole rate.
+    assert!((75..=104).contains(&taken), "{taken}");
+    let mut wide = Uplink::new(None, now);
+    assert!((0..1_000).all(|_| wide.take(body, now).is_ok()));
+}
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -85,6 +85,7 @@
         let gate = Gate::open(
             Arc::clone(&backend),
             key.clone(),
+            None,
             Arc::new(OwnDialect),
             metrics.clone(),
             log(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -180,6 +180,7 @@
         let gate = Gate::open(
             Arc::clone(&backend),
             key.clone(),
+            settings.vm.link,
             dialect.clone(),
             metrics.clone(),
             log.clone(),
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -106,6 +106,7 @@
         let gate = Gate::open(
             Arc::clone(&backend),
             settings.fleet.key.clone(),
+            settings.vm.link,
             Arc::clone(&ports.dialect),
             metrics.clone(),
             log.clone(),
--- a/crates/daemon/src/settings/vm.rs
+++ b/crates/daemon/src/settings/vm.rs
@@ -1,6 +1,6 @@
 //! Section `vm`.
 
-use model::{DomainName, RegionName, ServiceName, VmId};
+use model::{DomainName, Rate, RegionName, ServiceName, VmId};
 use serde::Deserialize;
 
 /// The VM that the daemon runs on.
@@ -13,6 +13,9 @@
     pub failure_domain: DomainName,
     /// Region.
     pub region: RegionName,
+    /// Rate of the VM's link, by which large bodies are admitted; any number of them when absent.
+    #[serde(default)]
+    pub link: Option<Rate>,
     /// Service of the upstream, which calls that begin on the VM name as their caller.
     #[serde(default)]
     pub service: Option<ServiceName>,
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -65,6 +65,7 @@
             id: vm.parse().expect("an id"),
             failure_domain: "morava-a".parse().expect("a name"),
             region: "cz-morava".parse().expect("a name"),
+            link: None,
             service: None,
         },
         listen: ListenSettings {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -16,6 +16,7 @@
     "advertise_fleet",
     "ready = ",
     "service",
+    "link",
     "name",
     "teams",
     "token_hash",
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use member::UpstreamState;
 use model::{Millis, Secret, Version};
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
@@ -26,10 +27,14 @@
 
 /// Least time between two reads of the configuration while it changes. Accepted versions are to be in
 /// force within 2 s.
-const CONFIG_GAP: Duration = Duration::from_millis(800);
+const CONFIG_GAP: Duration = Duration::from_millis(1_000);
 
 /// Least time between two reads of the records while they change.
-const MEMBERS_GAP: Duration = Duration::from_millis(700);
+const MEMBERS_GAP: Duration = Duration::from_millis(900);
+
+/// Time that a daemon that starts waits for its upstream's first word before it writes its record: a
+/// heartbeat and some of its lateness. One record then takes the place of two.
+const FIRST_WORD: Duration = Duration::from_millis(2_500);
 
 /// Time between two exchanges with a random peer while the store does not answer.
 const AWAY_EXCHANGE: Duration = Duration::from_millis(500);
@@ -335,13 +340,18 @@
 /// Keeps the own record in the store until the daemon has said there that it leaves.
 async fn keep(shared: Arc<Shared>, ttl: Duration) {
     let mut keeper = Keeper::new(ttl, Instant::now());
+    let silent_until = Instant::now() + FIRST_WORD;
     let mut own = shared.directory.table().members().subscribe();
     let mut leaving = false;
     loop {
         own.borrow_and_update();
         let record = shared.directory.table().members().own();
         let now = Instant::now();
-        let step = keeper.next(record.counter, now);
+        let is_silent = record.state == UpstreamState::Absent && now < silent_until;
+        let step = match keeper.next(record.counter, now) {
+            Step::Grant if is_silent => Step::Wait(silent_until),
+            step => step,
+        };
         if let Step::Wait(until) = step {
             if leaving {
                 break;
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -144,6 +144,39 @@
     }
 }
 
+/// A rate of transfer, such as `5Mbit`, in bits a second.
+#[derive(Debug, Clone, Copy, PartialEq, SerializeDisplay, DeserializeFromStr)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Returns the time in which `size` is transferred.
+    pub fn time(self, size: Size) -> Duration {
+        Duration::from_secs_f64(size.get() as f64 * 8.0 / self.0)
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}Mbit", self.0 / 1e6)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let mega = text
+            .strip_suffix("Mbit")
+            .and_then(|number| number.parse::<f64>().ok());
+        let valid = mega.filter(|mega| mega.is_finite() && *mega > 0.0);
+        valid.map(|mega| Self(mega * 1e6)).ok_or_else(|| UnitError {
+            text: text.into(),
+            what: "rate",
+            remedy: "a number above 0 with its unit, such as `5Mbit` or `1000Mbit`",
+        })
+    }
+}
+
 macro_rules! number {
     ($(#[$doc:meta])* $type:ident, $repr:ty) => {
         $(#[$doc])*
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -157,6 +157,7 @@
             id: vm.parse().map_err(fail)?,
             failure_domain: domain.parse().map_err(fail)?,
             region: "cz-morava".parse().map_err(fail)?,
+            link: None,
             service: None,
         },
         listen: ListenSettings {
