--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -3,8 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::header::HOST;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use model::{ConnectionLimits, Rate, RouteName, Secret, Size};
 use prometheus::IntGauge;
@@ -17,10 +16,11 @@
 use crate::body::{Body, Holding, boxed, empty};
 use crate::bounds::timed;
 use crate::connections::{Connections, InUse};
-use crate::dialect::{Dialect, Envelope, Judgement};
+use crate::dialect::{Dialect, Judgement};
+use crate::forward::{deadline, for_upstream, reservation, route};
 use crate::header::{
-    AIM, BODY, CALLER, DEADLINE, FLEET_KEY, KEY, LOAD, NO_WAIT, RESERVATION, RESERVE, ROUTE,
-    SERVICE, number, remove_hop, remove_own,
+    AIM, BODY, FLEET_KEY, KEY, LOAD, NO_WAIT, RESERVATION, RESERVE, SERVICE, number, remove_hop,
+    remove_own,
 };
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
@@ -31,9 +31,6 @@
 use crate::uplink::Uplink;
 use crate::{Metrics, Outcome, Refusal, RefusalKind};
 
-/// Time that a call may take where the ingress states none.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Time beyond the deadline in which the upstream's own word on it is still awaited.
 const ANSWER_SLACK: Duration = Duration::from_millis(100);
 
@@ -365,16 +362,6 @@
     Refusal::not_run(RefusalKind::Overloaded, message).with_pause(refused.wait)
 }
 
-/// Returns the reservation that the ingress names.
-fn reservation(headers: &HeaderMap) -> Option<ReservationId> {
-    headers.get(RESERVATION)?.to_str().ok()?.parse().ok()
-}
-
-/// Returns the route that the ingress names.
-fn route(headers: &HeaderMap) -> Option<RouteName> {
-    headers.get(ROUTE)?.to_str().ok()?.parse().ok()
-}
-
 /// Notes what is known of a call that may run only once.
 fn note(claim: &mut Option<Claim>, fate: Option<Fate>) {
     if let Some(claim) = claim {
@@ -390,11 +377,6 @@
     }
 }
 
-fn deadline(headers: &HeaderMap) -> Instant {
-    let left = number(headers, &DEADLINE).map_or(DEFAULT_TIMEOUT, Duration::from_millis);
-    Instant::now() + left
-}
-
 fn duplicate(known: Entry) -> Refusal {
     match known {
         Entry::Known(Fate::Ran) => Refusal::ran(
@@ -415,43 +397,3 @@
         ),
     }
 }
-
-/// Returns the request as the upstream gets it: HTTP/1.1, with the time left, without the system's
-/// other headers except service and key.
-fn for_upstream(
-    request: Request<Body>,
-    announced: &Announcement,
-    dialect: &dyn Dialect,
-    deadline: Instant,
-) -> Request<Body> {
-    let (mut parts, body) = request.into_parts();
-    parts.version = http::Version::HTTP_11;
-    let caller = parts
-        .headers
-        .get(CALLER)
-        .and_then(|name| name.to_str().ok());
-    let caller = caller.and_then(|name| name.parse().ok());
-    let kept = [SERVICE, KEY].map(|name| parts.headers.remove(&name).map(|value| (name, value)));
-    remove_own(&mut parts.headers);
-    parts.headers.extend(kept.into_iter().flatten());
-    let left = deadline.saturating_duration_since(Instant::now());
-    parts.headers.insert(
-        dialect.deadline(),
-        HeaderValue::from(left.as_millis() as u64),
-    );
-    let envelope = Envelope {
-        instance: announced.instance.as_ref(),
-        caller: caller.as_ref(),
-    };
-    dialect.address(&mut parts.headers, &envelope);
-    let host = match parts.uri.authority() {
-        Some(authority) => HeaderValue::from_str(authority.as_str()),
-        None => HeaderValue::from_str(&announced.address.to_string()),
-    };
-    if let Ok(host) = host {
-        parts.headers.insert(HOST, host);
-    }
-    let path = parts.uri.path_and_query().cloned();
-    parts.uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    Request::from_parts(parts, body)
-}
--- a/crates/call/src/ingress.rs
+++ b/crates/call/src/ingress.rs
@@ -125,7 +125,9 @@
         let (parts, body) = request.into_parts();
         let turn = parts.extensions.get::<Turn>().cloned();
         let mut call = Call::open(parts, self.table.snapshot(), &*self.dialect, id, started)?;
-        call.daemons = self.table.members().live();
+        if self.dispatcher.shares_retries() {
+            call.daemons = self.table.members().live();
+        }
         if let Some(turn) = turn.filter(|_| !call.idempotent) {
             // Were an answer before it to close the connection, the caller would send it again.
             turn.wait().await;
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod choose;
 mod connections;
 mod dialect;
+mod forward;
 mod gate;
 mod header;
 pub mod health;
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Returns whether the daemons of the fleet share their retries.
+    pub(crate) fn shares_retries(&self) -> bool {
+        self.origin.retry_slack.is_some()
+    }
+
     /// Tries one upstream after the other while the rules and the budget allow it.
     pub(crate) async fn send(&self, call: &Call, mut payload: Payload) -> Tried {
         let index = choose::pool(&call.route, &mut rand::rng());
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -12,6 +12,7 @@
 mod format;
 pub mod keeper;
 mod members;
+mod metrics;
 mod node;
 mod peers;
 pub mod roster;
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -6,9 +6,7 @@
 
 use member::UpstreamState;
 use model::{Millis, Secret, Version};
-use prometheus::core::{Collector, Desc};
-use prometheus::proto::MetricFamily;
-use prometheus::{IntGauge, Registry};
+use prometheus::Registry;
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use store::{Error, Put, Revision, Store};
@@ -21,6 +19,7 @@
 use crate::config::Installer;
 use crate::keeper::{Keeper, Step};
 use crate::members::{self, Directory};
+use crate::metrics::State;
 use crate::peers::{Exchange, FleetKey};
 use crate::tail::{Read, Tail};
 use crate::{ConfigFormat, SpawnError};
@@ -59,14 +58,14 @@
 
 /// What the tasks of a follower share.
 #[derive(Debug)]
-struct Shared {
+pub(crate) struct Shared {
     store: Arc<dyn Store>,
-    installer: Arc<Installer>,
-    directory: Arc<Directory>,
+    pub(crate) installer: Arc<Installer>,
+    pub(crate) directory: Arc<Directory>,
     /// Whether the records were read once.
     members_read: AtomicBool,
     /// Whether the store answered the last call of the keeper.
-    answering: watch::Sender<bool>,
+    pub(crate) answering: watch::Sender<bool>,
     /// Ends the keeper, after it wrote that the daemon left.
     leaving: Notify,
     log: Logger,
@@ -133,26 +132,7 @@
     ///
     /// Fails if `registry` has them already.
     pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
-        let state = State {
-            version: gauge(
-                "sardinestall_version_in_force",
-                "Version in force here; 0 before one.",
-            )?,
-            age: gauge(
-                "sardinestall_version_age_seconds",
-                "Time since the version in force was put in force here.",
-            )?,
-            members: gauge(
-                "sardinestall_members",
-                "Daemons known that have not left or expired.",
-            )?,
-            connected: gauge(
-                "sardinestall_connected",
-                "Whether the store answers: 1 or 0.",
-            )?,
-            shared: Arc::clone(&self.shared),
-        };
-        registry.register(Box::new(state))
+        registry.register(Box::new(State::open(Arc::clone(&self.shared))?))
     }
 
     /// Returns whether the store answers.
@@ -201,48 +181,6 @@
     }
 }
 
-/// Gauges that are read when they are asked for.
-struct State {
-    version: IntGauge,
-    age: IntGauge,
-    members: IntGauge,
-    connected: IntGauge,
-    shared: Arc<Shared>,
-}
-
-fn gauge(name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
-    IntGauge::new(name, help)
-}
-
-impl State {
-    fn gauges(&self) -> [&IntGauge; 4] {
-        [&self.version, &self.age, &self.members, &self.connected]
-    }
-}
-
-impl Collector for State {
-    fn desc(&self) -> Vec<&Desc> {
-        self.gauges()
-            .into_iter()
-            .flat_map(Collector::desc)
-            .collect()
-    }
-
-    fn collect(&self) -> Vec<MetricFamily> {
-        let members = self.shared.directory.table().members().live();
-        self.version
-            .set(self.shared.installer.version().get() as i64);
-        self.age.set(self.shared.installer.age().as_secs() as i64);
-        self.members.set(members as i64);
-        self.connected
-            .set(i64::from(*self.shared.answering.borrow()));
-        self.gauges()
-            .into_iter()
-            .flat_map(Collector::collect)
-            .collect()
-    }
-}
-
 /// What is followed in the store.
 #[derive(Debug)]
 enum Topic {
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -13,7 +13,8 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::Value;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::{Child, ChildStdout, Command};
 use tokio::time::timeout;
 
@@ -33,11 +34,16 @@
 
 impl Demo {
     async fn spawn() -> Self {
+        Self::spawn_with(Stdio::null()).await
+    }
+
+    /// Starts a demo whose log goes to `stderr`.
+    async fn spawn_with(stderr: Stdio) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_sardinestall"))
             .arg("demo")
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(stderr)
             .kill_on_drop(true)
             .spawn()
             .expect("the demo starts");
@@ -229,3 +235,24 @@
     let status = timeout(LIMIT, child.wait()).await.expect("ends in time");
     assert_eq!(status.expect("a status").code(), Some(0));
 }
+
+#[tokio::test]
+async fn log_that_nobody_reads_holds_up_no_call() {
+    let demo = Demo::spawn_with(Stdio::piped()).await;
+    let mut caller = TcpStream::connect(demo.caller).await.expect("open");
+    // Each refusal is a line of 2 kB, and a pipe takes 64 kB.
+    let path = "x".repeat(2_000);
+    let mut buffer = vec![0; 64 << 10];
+    for i in 0..500 {
+        let request = format!("GET /{path}/{i} HTTP/1.1\r\nhost: nobody\r\n\r\n");
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let read = timeout(LIMIT, caller.read(&mut buffer)).await;
+        let size = read.expect("an answer").expect("open");
+        assert!(buffer[..size].starts_with(b"HTTP/1.1 404"), "call {i}");
+    }
+    let request = b"GET /proofs/7 HTTP/1.1\r\nhost: redakce.brno.example\r\n\r\n";
+    caller.write_all(request).await.expect("sent");
+    let read = timeout(LIMIT, caller.read(&mut buffer)).await;
+    let size = read.expect("an answer").expect("open");
+    assert!(buffer[..size].starts_with(b"HTTP/1.1 200"));
+}
