Tell a longer wait at an upstream from which no call ends

A full gate from which no call has ended for a while now expects at least that long for each call ahead.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -72,7 +72,7 @@
     }
 
     fn refuse(&self, shed: Shed, ticket: &Ticket) -> Refused {
-        let wait = self.queue.expected_wait(ticket);
+        let wait = self.queue.expected_wait(ticket, Instant::now());
         Refused {
             shed,
             wait,
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -126,6 +126,8 @@
     running: u32,
     waiting: BTreeMap<Rank, Waiting<W>>,
     number: u64,
+    /// When a call last ended.
+    ended: Option<Instant>,
 }
 
 impl<W> Queue<W> {
@@ -136,6 +138,7 @@
             running: 0,
             waiting: BTreeMap::new(),
             number: 0,
+            ended: None,
         }
     }
 
@@ -165,9 +168,9 @@
     }
 
     /// Returns the time until a call with `ticket` that arrives now would run.
-    pub fn expected_wait(&self, ticket: &Ticket) -> Duration {
+    pub fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
         let rank = self.rank(ticket);
-        self.wait(self.waiting.range(..rank).count() as u32)
+        self.wait(self.waiting.range(..rank).count() as u32, now)
     }
 
     /// Takes a slot for a call that does not wait; returns whether one was free.
@@ -186,7 +189,7 @@
         }
         self.number += 1;
         let rank = self.rank(&ticket);
-        let wait = self.expected_wait(&ticket);
+        let wait = self.expected_wait(&ticket, now);
         if now + wait + self.work(&ticket) > ticket.deadline {
             return Entry::Shed(Shed::Deadline);
         }
@@ -222,7 +225,7 @@
         let mut kept = 0;
         let mut displaced = Vec::new();
         for (other, waiting) in self.waiting.range(rank..).skip(1) {
-            if waiting.ticket.aim.is_some() && now + self.wait(before + kept) > waiting.until {
+            if waiting.ticket.aim.is_some() && now + self.wait(before + kept, now) > waiting.until {
                 displaced.push(*other);
             } else {
                 kept += 1;
@@ -247,6 +250,7 @@
     /// Notes that a call ended, and returns the calls that wait no longer.
     pub fn leave(&mut self, now: Instant) -> Next<W> {
         self.running -= 1;
+        self.ended = Some(now);
         let mut next = Next {
             run: Vec::new(),
             late: Vec::new(),
@@ -295,8 +299,15 @@
     }
 
     /// Returns how long a call waits that has `before` others before it.
-    fn wait(&self, before: u32) -> Duration {
+    ///
+    /// What calls took so far says nothing of an upstream that has become slow until some of them end. The
+    /// time without an end tells it before.
+    fn wait(&self, before: u32, now: Instant) -> Duration {
         let rounds = f64::from(before + 1) / f64::from(self.limit.get().max(1));
-        self.limit.latency().mul_f64(rounds)
+        let usual = self.limit.latency().mul_f64(rounds);
+        let is_full = self.running >= self.limit.get();
+        let stall = self.ended.filter(|_| is_full);
+        let stall = stall.map_or(Duration::ZERO, |ended| now.saturating_duration_since(ended));
+        usual.max(stall * (before + 1))
     }
 }
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -142,6 +142,21 @@
     assert!(matches!(first, Entry::Wait { .. }));
 }
 
+#[test]
+fn upstream_that_has_become_slow_tells_a_longer_wait_before_any_call_has_ended() {
+    let now = Instant::now();
+    let mut queue = busy(12, millis(120), now);
+    let ticket = aimed(Priority::Normal, 600, now);
+    queue.leave(now);
+    assert_eq!(queue.enter(ticket, 1, now), Entry::Run);
+    assert_eq!(queue.expected_wait(&ticket, now), millis(10));
+    // Nothing ends for 300 ms, where a call ended each 10 ms.
+    let later = now + millis(300);
+    assert!(queue.expected_wait(&ticket, later) >= millis(300));
+    let late = aimed(Priority::Normal, 400, later);
+    assert_eq!(queue.enter(late, 2, later), Entry::Shed(Shed::Full));
+}
+
 #[test]
 fn urgent_call_displaces_those_that_would_then_be_late() {
     let now = Instant::now();
--- a/crates/loads/src/world.rs
+++ b/crates/loads/src/world.rs
@@ -208,7 +208,7 @@
         let gate = &mut self.gates[index];
         if !wait {
             if !gate.queue.enter_now() {
-                return Err(gate.queue.expected_wait(&ticket));
+                return Err(gate.queue.expected_wait(&ticket, now));
             }
             gate.kinds.decided(&route, true);
             self.run(index, call);
@@ -221,7 +221,7 @@
             }
             Entry::Shed(_) => {
                 gate.kinds.decided(&route, false);
-                return Err(gate.queue.expected_wait(&ticket));
+                return Err(gate.queue.expected_wait(&ticket, now));
             }
             Entry::Wait { rank, until, shed } => {
                 gate.ranks.insert(call, rank);
@@ -321,8 +321,9 @@
         }
         let route = self.routes[self.calls[call].kind].clone();
         self.gates[index].kinds.decided(&route, false);
+        let now = self.instant(self.now);
         let ticket = self.ticket(index, call);
-        let pause = self.gates[index].queue.expected_wait(&ticket);
+        let pause = self.gates[index].queue.expected_wait(&ticket, now);
         self.refuse(call, pause);
     }
 
