Call one piece where the change had written two

The nearest aim of all routes was sought among them for every call that waits; it is now kept and sought only when a route's aim grows. Follower::is_connected was not called by anyone. The poll of a read-ahead connection and the reply learnt from a refusal are written in a flatter form.

--- a/crates/admin/src/health.rs
+++ b/crates/admin/src/health.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
+use crate::server::spawn_routes;
 use crate::{Api, ErrorKind, ErrorPage};
 
 /// Answers while the process runs.
@@ -40,11 +41,7 @@
         "/metrics",
         get(move || async move { exposition(&registry) }),
     );
-    tokio::spawn(async move {
-        // Ends with the daemon only.
-        let _ = axum::serve(listener, routes).await;
-    })
-    .abort_handle()
+    spawn_routes(listener, routes)
 }
 
 /// Writes the metrics of `registry`.
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -25,5 +25,5 @@
     VersionCount,
 };
 pub use metrics::Metrics;
-pub use server::HttpServer;
+pub use server::{HttpServer, spawn_routes};
 pub use spread::Lag;
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -6,10 +6,19 @@
 
 use axum::Router;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+/// Starts to serve `routes` on `listener` until it is aborted, without waiting for calls in flight.
+pub fn spawn_routes(listener: TcpListener, routes: Router) -> AbortHandle {
+    tokio::spawn(async move {
+        // Ends when it is aborted only.
+        let _ = axum::serve(listener, routes).await;
+    })
+    .abort_handle()
+}
+
 /// A running HTTP server of the administration.
 #[derive(Debug)]
 pub struct HttpServer {
--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -155,11 +155,6 @@
         self.lock().queue.resize(slots);
     }
 
-    /// Returns the calls that run and wait, in percent of those that may run.
-    pub(crate) fn load(&self) -> u32 {
-        self.lock().queue.load()
-    }
-
     /// Returns how many calls run and wait.
     pub(crate) fn crowd(&self) -> Crowd {
         self.lock().queue.crowd()
--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -81,9 +81,7 @@
     pub fn resize(&self, service: &Service, room: u32) {
         self.with(&service.name, |budget| budget.resize(room));
     }
-}
 
-impl Budgets {
     /// Notes a first try of `service`.
     pub fn earn(&self, service: &Service) {
         self.with(&service.name, |budget| budget.earn(service.retry_percent));
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,6 +1,6 @@
 //! The gate beside an upstream: admits calls and passes them to it.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -24,6 +24,8 @@
 };
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
+use crate::lock::lock;
+use crate::payload::SMALL_LIMIT;
 use crate::queue::Shed;
 use crate::request::priority;
 use crate::reserve::{ReservationId, Reservations};
@@ -34,9 +36,6 @@
 /// Time beyond the deadline in which the upstream's own word on it is still awaited.
 const ANSWER_SLACK: Duration = Duration::from_millis(100);
 
-/// Largest body that the link is not asked for.
-const SMALL_BODY: Size = Size::new(4 << 10);
-
 /// The gate beside an upstream.
 #[derive(Debug)]
 pub struct Gate {
@@ -115,7 +114,7 @@
                 });
                 let crowd = gate.admission.crowd();
                 gate.metrics.waiting.set(i64::from(crowd.waiting));
-                let load = HeaderValue::from(gate.admission.load());
+                let load = HeaderValue::from(crowd.load());
                 response.headers_mut().insert(LOAD, load);
                 response
             }
@@ -127,15 +126,20 @@
         self.check_key(request.headers())?;
         let deadline = deadline(request.headers());
         self.check_backend(request.headers())?;
+        let route = route(request.headers());
         if request.headers().contains_key(RESERVE) {
-            return self.reserve(request.headers(), deadline).await;
+            return self
+                .reserve(request.headers(), route.as_ref(), deadline)
+                .await;
         }
         let mut claim = self.claim(request.headers())?;
         let (running, announced) = match reservation(request.headers()) {
             Some(id) => self.redeem(id, request.headers())?,
-            None => self.admit(request.headers(), deadline).await?,
+            None => {
+                self.admit(request.headers(), route.as_ref(), deadline)
+                    .await?
+            }
         };
-        let route = route(request.headers());
         let request = for_upstream(request, &announced, &*self.dialect, deadline);
         let id = request.headers().get(self.dialect.id()).cloned();
         note(&mut claim, Some(Fate::Unknown));
@@ -153,18 +157,14 @@
                 if refusal.outcome == Outcome::NotRun {
                     note(&mut claim, None);
                 }
-                match refusal.kind {
-                    RefusalKind::Deadline => {
-                        running
-                            .slot
-                            .observe(route.as_ref(), started.elapsed(), Reply::Late)
-                    }
-                    RefusalKind::Rejected => {
-                        running
-                            .slot
-                            .observe(route.as_ref(), started.elapsed(), Reply::Refused);
-                    }
-                    _ => {}
+                let reply = match refusal.kind {
+                    RefusalKind::Deadline => Some(Reply::Late),
+                    RefusalKind::Rejected => Some(Reply::Refused),
+                    _ => None,
+                };
+                if let Some(reply) = reply {
+                    let latency = started.elapsed();
+                    running.slot.observe(route.as_ref(), latency, reply);
                 }
                 return Err(refusal);
             }
@@ -208,10 +208,11 @@
     async fn reserve(
         &self,
         headers: &HeaderMap,
+        route: Option<&RouteName>,
         deadline: Instant,
     ) -> Result<Response<Body>, Refusal> {
         self.take_link(headers)?;
-        let (running, _) = self.admit(headers, deadline).await?;
+        let (running, _) = self.admit(headers, route, deadline).await?;
         let id = self.reservations.hold(running).to_string();
         let mut response = Response::new(empty());
         if let Ok(id) = HeaderValue::from_str(&id) {
@@ -223,10 +224,10 @@
     /// Refuses a large body while others fill the VM's link.
     fn take_link(&self, headers: &HeaderMap) -> Result<(), Refusal> {
         let size = number(headers, &BODY).map(Size::new);
-        if size.is_some_and(|size| size <= SMALL_BODY) {
+        if size.is_some_and(|size| size <= SMALL_LIMIT) {
             return Ok(());
         }
-        let mut uplink = self.uplink.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut uplink = lock(&self.uplink);
         uplink.take(size, Instant::now()).map_err(|pause| {
             let message = "the link to the upstream's VM is full of other bodies; try again later";
             Refusal::not_run(RefusalKind::Overloaded, message).with_pause(pause)
@@ -286,15 +287,15 @@
     async fn admit(
         &self,
         headers: &HeaderMap,
+        route: Option<&RouteName>,
         deadline: Instant,
     ) -> Result<(Running, Announcement), Refusal> {
         let mut announced = self.check_backend(headers)?;
         self.admission
             .resize(announced.slots.min(announced.connections));
-        let route = route(headers);
         let aim = number(headers, &AIM).map(Duration::from_millis);
         let asked = admission::Request {
-            route: route.as_ref(),
+            route,
             priority: priority(headers),
             deadline,
             aim: aim.map(|left| Instant::now() + left),
--- a/crates/call/src/intake.rs
+++ b/crates/call/src/intake.rs
@@ -8,8 +8,8 @@
 use std::collections::HashMap;
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 
 use bytes::{Buf, BytesMut};
 use http::{Request, Response};
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 
 use crate::body::{Body, empty};
+use crate::lock::lock;
 use crate::scan::Scanner;
 
 /// Bytes read ahead of the server at most.
@@ -279,20 +280,16 @@
             let is_over = self.intake.poll_fill(cx);
             let was_full = !self.intake.has_room();
             let polled = self.connection.as_mut().poll(cx);
-            if polled.is_pending() && is_over {
+            if polled.is_ready() {
+                return polled;
+            }
+            if is_over {
                 // The caller has gone; what it asked for stops with the connection.
                 return Poll::Ready(Ok(()));
             }
-            let ended = if was_full && self.intake.has_room() && polled.is_pending() {
-                continue;
-            } else {
-                ready!(polled)
-            };
-            return Poll::Ready(ended);
+            if !was_full || !self.intake.has_room() {
+                return Poll::Pending;
+            }
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/call/src/kinds.rs
+++ b/crates/call/src/kinds.rs
@@ -47,6 +47,8 @@
     routes: HashMap<RouteName, Kind>,
     /// Share of all calls that are admitted.
     admitted: f64,
+    /// Nearest aim of all routes. Kept, as every call that waits is compared with it.
+    nearest: Option<Duration>,
 }
 
 impl Default for Kinds {
@@ -54,6 +56,7 @@
         Self {
             routes: HashMap::new(),
             admitted: 1.0,
+            nearest: None,
         }
     }
 }
@@ -94,8 +97,12 @@
     pub fn boost(&mut self, route: &RouteName, aim: Duration) -> Duration {
         let overall = self.admitted;
         let kind = self.kind(route);
+        let is_longer = kind.aim < Some(aim);
         kind.aim = kind.aim.max(Some(aim));
         let behind = overall * FAIR_PART - kind.admitted;
+        if is_longer {
+            self.nearest = self.routes.values().filter_map(|kind| kind.aim).min();
+        }
         if behind <= 0.0 {
             return Duration::ZERO;
         }
@@ -112,13 +119,13 @@
     }
 
     fn near_limit(&self) -> Duration {
-        let nearest = self.routes.values().filter_map(|kind| kind.aim).min();
-        nearest.unwrap_or_default().mul_f64(NEAREST_MARGIN)
+        self.nearest.unwrap_or_default().mul_f64(NEAREST_MARGIN)
     }
 
     fn kind(&mut self, route: &RouteName) -> &mut Kind {
         if self.routes.len() >= MAX_ROUTES && !self.routes.contains_key(route) {
             self.routes.clear();
+            self.nearest = None;
         }
         self.routes.entry(route.clone()).or_insert(Kind {
             samples: 0,
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod kinds;
 pub mod limit;
 mod links;
+mod lock;
 mod metrics;
 mod outcome;
 mod payload;
--- a/crates/call/src/payload.rs
+++ b/crates/call/src/payload.rs
@@ -13,8 +13,8 @@
 /// Largest body that is held whole, so that it can be sent again.
 const REPLAY_LIMIT: Size = Size::new(64 << 10);
 
-/// Largest body that is sent along with the question for a slot.
-const SMALL_LIMIT: Size = Size::new(4 << 10);
+/// Largest body that is sent along with the question for a slot, and that a narrow link is not asked for.
+pub(crate) const SMALL_LIMIT: Size = Size::new(4 << 10);
 
 /// The body of a request.
 pub(crate) enum Payload {
--- a/crates/call/src/plan.rs
+++ b/crates/call/src/plan.rs
@@ -64,7 +64,7 @@
         self.shortest_queue(vms)
     }
 
-    /// Returns the fullest hope: the gate that expects the shortest wait.
+    /// Returns the full gate that expects the shortest wait.
     fn shortest_queue(&self, vms: &[&VmId]) -> Next {
         if self.waited {
             return Next::Stop;
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -79,6 +79,13 @@
     pub limit: u32,
 }
 
+impl Crowd {
+    /// Returns the calls that run and wait, in percent of those that may run.
+    pub fn load(&self) -> u32 {
+        (self.running + self.waiting) * 100 / self.limit.max(1)
+    }
+}
+
 /// What becomes of a call that arrives.
 #[derive(Debug, PartialEq)]
 pub enum Entry<W> {
@@ -163,8 +170,7 @@
 
     /// Returns the calls that run and wait, in percent of those that may run.
     pub fn load(&self) -> u32 {
-        let calls = self.running + self.waiting.len() as u32;
-        calls * 100 / self.limit.get().max(1)
+        self.crowd().load()
     }
 
     /// Returns the time until a call with `ticket` that arrives now would run.
--- a/crates/call/src/reserve.rs
+++ b/crates/call/src/reserve.rs
@@ -3,12 +3,14 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rand::RngExt;
 use tokio::time::sleep;
 
+use crate::lock::lock;
+
 /// Time that a slot is held for a call: a few round trips between failure domains.
 const HOLD_LIMIT: Duration = Duration::from_millis(500);
 
@@ -59,7 +61,3 @@
         lock(&self.0).remove(&id)
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -135,11 +135,6 @@
         registry.register(Box::new(State::open(Arc::clone(&self.shared))?))
     }
 
-    /// Returns whether the store answers.
-    pub fn is_connected(&self) -> bool {
-        *self.shared.answering.borrow()
-    }
-
     /// Lets the own record, which says that the daemon left, be written once more.
     ///
     /// The record stays until its lease lapses: daemons that read changes together would otherwise see
@@ -147,9 +142,7 @@
     pub fn leave(&self) {
         self.shared.leaving.notify_one();
     }
-}
 
-impl Follower {
     /// Ends every task and gives the listener back, whoever else still holds the follower.
     pub fn close(&self) {
         for task in &self.tasks {
