Let a relay in each failure domain read the store for the others

Cause: on the grown deployments a configuration has 294 kB. Every VM read each version itself, over links of 5 Mbit: 0.63 s of the link for one version, and a watch after a pause returned every version of a storm. Calls queued behind it, for 20 s and more. Watches that waited 25 s outlasted the store's history of 20 s and ended in a read of every key on all VMs at once.

Now the VM with the widest link of each failure domain watches the store; the others wait at two relays, over one kept connection each, and get a configuration as a zstd difference from the one they have. They read the store themselves while fewer than two relays answer. A relay reads the newest value once a gap while it changes.

--- a/crates/bench/src/spread/fullsize_parent.rs
+++ b/crates/bench/src/spread/fullsize_parent.rs
@@ -175,6 +175,7 @@
             .parse()
             .expect("a valid name"),
         slots: 12,
+        link: None,
         expired: false,
         ended: None,
     }
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -178,6 +178,7 @@
         domain: "morava-a".parse().expect("a valid name"),
         region: "cz-morava".parse().expect("a valid name"),
         slots,
+        link: None,
         expired: false,
         ended: None,
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -308,6 +308,7 @@
         domain: settings.vm.failure_domain.clone(),
         region: settings.vm.region.clone(),
         slots: 0,
+        link: settings.vm.link,
         expired: false,
         ended: None,
     }
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -28,6 +28,9 @@
 /// Time that the other daemons need to hear that this one left.
 const DAEMONS_LEAVE: Duration = Duration::from_millis(900);
 
+/// Time before the limit at which a stop ends, so that the platform does not end the process in the midst.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
 /// Answers whether a daemon takes new callers.
 pub type ReadyCheck = Arc<dyn Fn() -> bool + Send + Sync>;
 
@@ -163,16 +166,17 @@
     /// Stops as planned: is not ready any more, lets callers and then daemons go elsewhere, and
     /// finishes the calls in flight.
     pub async fn stop(self) -> StopReport {
-        let deadline = Instant::now() + self.stop_limit.duration();
+        let limit = self.stop_limit.duration().saturating_sub(STOP_MARGIN);
+        let deadline = Instant::now() + limit;
         info!(self.log, "daemon stops"; "limit" => %self.stop_limit);
         self.stopping.store(true, Ordering::Relaxed);
         self.ingress.close_kept();
-        sleep(CALLERS_LEAVE.min(self.stop_limit.duration() / 2)).await;
+        sleep(CALLERS_LEAVE.min(limit / 2)).await;
         self.watcher.abort();
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         self.follower.leave();
-        sleep(DAEMONS_LEAVE.min(self.stop_limit.duration() / 5)).await;
+        sleep(DAEMONS_LEAVE.min(limit / 5)).await;
         let left = || deadline.saturating_duration_since(Instant::now());
         let (ingress_cut, gate_cut) =
             tokio::join!(self.ingress.stop(left()), self.gate.stop(left()));
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -9,7 +9,7 @@
 use prometheus::Registry;
 use rand::RngExt;
 use slog::{Logger, info, warn};
-use store::{Error, Put, Revision, Store};
+use store::{Error, Put, Store};
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -21,15 +21,16 @@
 use crate::members::{self, Directory};
 use crate::metrics::State;
 use crate::peers::{Exchange, FleetKey};
-use crate::tail::{Read, Tail};
+use crate::polls::Polls;
+use crate::topic::{Topic, follow};
 use crate::{ConfigFormat, SpawnError};
 
 /// Least time between two reads of the configuration while it changes. Accepted versions are to be in
 /// force within 2 s.
-const CONFIG_GAP: Duration = Duration::from_millis(1_000);
+pub(crate) const CONFIG_GAP: Duration = Duration::from_millis(1_000);
 
 /// Least time between two reads of the records while they change.
-const MEMBERS_GAP: Duration = Duration::from_millis(900);
+pub(crate) const MEMBERS_GAP: Duration = Duration::from_millis(900);
 
 /// Time that a daemon that starts waits for its upstream's first word before it writes its record: a
 /// heartbeat and some of its lateness. One record then takes the place of two.
@@ -59,16 +60,18 @@
 /// What the tasks of a follower share.
 #[derive(Debug)]
 pub(crate) struct Shared {
-    store: Arc<dyn Store>,
+    pub(crate) store: Arc<dyn Store>,
     pub(crate) installer: Arc<Installer>,
     pub(crate) directory: Arc<Directory>,
+    pub(crate) exchange: Exchange,
+    pub(crate) polls: Polls,
     /// Whether the records were read once.
-    members_read: AtomicBool,
+    pub(crate) members_read: AtomicBool,
     /// Whether the store answered the last call of the keeper.
     pub(crate) answering: watch::Sender<bool>,
     /// Ends the keeper, after it wrote that the daemon left.
     leaving: Notify,
-    log: Logger,
+    pub(crate) log: Logger,
 }
 
 impl Follower {
@@ -87,22 +90,25 @@
     ) -> Result<Self, SpawnError> {
         let key = FleetKey::new(settings.key.clone()).ok_or(SpawnError::Key)?;
         let installer = Installer::new(Arc::clone(&format), Arc::clone(&table), log.clone());
+        let exchange = Exchange {
+            directory: Arc::new(Directory::new(table, log.clone())),
+            installer: Arc::new(installer),
+            followed: Arc::default(),
+            key: key.clone(),
+            behind: Arc::default(),
+            log: log.clone(),
+        };
         let shared = Arc::new(Shared {
             store,
-            installer: Arc::new(installer),
-            directory: Arc::new(Directory::new(table, log.clone())),
+            installer: Arc::clone(&exchange.installer),
+            directory: Arc::clone(&exchange.directory),
+            exchange: exchange.clone(),
+            polls: Polls::new(key, log.clone()),
             members_read: AtomicBool::new(false),
             answering: watch::Sender::new(true),
             leaving: Notify::new(),
-            log: log.clone(),
-        });
-        let exchange = Exchange {
-            directory: Arc::clone(&shared.directory),
-            installer: Arc::clone(&shared.installer),
-            key,
-            behind: Arc::default(),
             log,
-        };
+        });
         let lease = settings.lease.duration();
         let tasks = vec![
             tokio::spawn(keep(Arc::clone(&shared), lease)).abort_handle(),
@@ -110,12 +116,7 @@
             tokio::spawn(follow(Arc::clone(&shared), Topic::Config(format))).abort_handle(),
             tokio::spawn(follow(Arc::clone(&shared), Topic::Members)).abort_handle(),
             tokio::spawn(exchange.clone().probe_lapsed()).abort_handle(),
-            tokio::spawn(exchange_on(
-                Arc::clone(&shared),
-                exchange,
-                settings.exchange,
-            ))
-            .abort_handle(),
+            tokio::spawn(exchange_on(Arc::clone(&shared), settings.exchange)).abort_handle(),
         ];
         Ok(Self { shared, tasks })
     }
@@ -174,100 +175,6 @@
     }
 }
 
-/// What is followed in the store.
-#[derive(Debug)]
-enum Topic {
-    Config(Arc<dyn ConfigFormat>),
-    Members,
-}
-
-impl Topic {
-    fn prefix(&self) -> &str {
-        match self {
-            Self::Config(format) => format.key(),
-            Self::Members => members::PREFIX,
-        }
-    }
-
-    const fn gap(&self) -> Duration {
-        match self {
-            Self::Config(_) => CONFIG_GAP,
-            Self::Members => MEMBERS_GAP,
-        }
-    }
-}
-
-/// Follows one topic until the daemon stops.
-async fn follow(shared: Arc<Shared>, topic: Topic) {
-    let mut tail = Tail::new(topic.gap(), Instant::now());
-    let mut answering = shared.answering.subscribe();
-    loop {
-        let (due, read) = tail.next();
-        sleep_until(due).await;
-        answering.mark_unchanged();
-        let result = tokio::select! {
-            result = carry_out(&shared, &topic, read, &mut tail) => result,
-            // A connection may have gone silent under a waiting watch; a new one shows it.
-            () = lost(&mut answering), if matches!(read, Read::Watch { .. }) => {
-                Err(Error::Unavailable("the store does not answer other calls".into()))
-            }
-        };
-        if let Err(error) = result {
-            if !tail.is_failing() || error == Error::Compacted {
-                info!(shared.log, "read of the store failed"; "prefix" => topic.prefix(),
-                    "error" => %error);
-            }
-            tail.failed(&error, rand::rng().random(), Instant::now());
-        }
-    }
-}
-
-/// Waits until the store stops answering.
-async fn lost(answering: &mut watch::Receiver<bool>) {
-    if answering.wait_for(|answering| !answering).await.is_err() {
-        std::future::pending().await
-    }
-}
-
-async fn carry_out(
-    shared: &Shared,
-    topic: &Topic,
-    read: Read,
-    tail: &mut Tail,
-) -> Result<(), Error> {
-    match read {
-        Read::Scan => {
-            let revision = scan(shared, topic).await?;
-            tail.scanned(revision, Instant::now());
-        }
-        Read::Watch { after, wait } => {
-            let changes = shared.store.watch(topic.prefix(), after, wait).await?;
-            let changed = !changes.entries.is_empty() || !changes.deleted.is_empty();
-            match topic {
-                Topic::Config(_) => shared.installer.offer_entries(&changes.entries),
-                Topic::Members => {
-                    shared.directory.deleted(&changes.deleted);
-                    shared.directory.written(&changes.entries);
-                }
-            }
-            tail.watched(changes.revision, changed, Instant::now());
-        }
-    }
-    Ok(())
-}
-
-async fn scan(shared: &Shared, topic: &Topic) -> Result<Revision, Error> {
-    match topic {
-        Topic::Config(_) => shared.installer.scan(&*shared.store).await,
-        Topic::Members => {
-            let scan = shared.store.scan(members::PREFIX).await?;
-            shared.directory.scanned(&scan.entries);
-            shared.members_read.store(true, Ordering::Relaxed);
-            Ok(scan.revision)
-        }
-    }
-}
-
 /// Keeps the own record in the store until the daemon has said there that it leaves.
 async fn keep(shared: Arc<Shared>, ttl: Duration) {
     let mut keeper = Keeper::new(ttl, Instant::now());
@@ -345,7 +252,8 @@
 }
 
 /// Exchanges with random peers: now and then, and often while the store does not answer.
-async fn exchange_on(shared: Arc<Shared>, exchange: Exchange, mean: Millis) {
+async fn exchange_on(shared: Arc<Shared>, mean: Millis) {
+    let exchange = &shared.exchange;
     let mut answering = shared.answering.subscribe();
     loop {
         let jitter = rand::rng().random_range(0.5..1.5);
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -8,10 +8,11 @@
 use model::{Secret, UnixMillis, Version};
 use rand::seq::IndexedRandom;
 use slog::{Logger, debug};
+use store::Revision;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::metadata::{Ascii, MetadataValue};
 use tonic::service::Interceptor;
@@ -20,10 +21,14 @@
 use tonic::{Request, Response, Status};
 use wire::fleet::peers_client::PeersClient;
 use wire::fleet::peers_server::{Peers, PeersServer};
-use wire::fleet::{ExchangeReply, ExchangeRequest, Records};
+use wire::fleet::{
+    Entry, ExchangeReply, ExchangeRequest, Records, Topic, WatchReply, WatchRequest,
+};
 
 use crate::config::Installer;
+use crate::followed::Followed;
 use crate::members::Directory;
+use crate::polls::{HOLD, has_news};
 
 /// Longest wait for a peer, connection and answer together.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -32,7 +37,7 @@
 const RETURN_LIMIT: Duration = Duration::from_secs(30);
 
 /// Largest message, in bytes: a configuration as large as the store's values, and records.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
 /// Records sent in one exchange; the rest waits for the next one.
 const MAX_RECORDS: usize = 2_000;
@@ -50,6 +55,14 @@
         let bearer = format!("Bearer {}", key.expose()).parse().ok()?;
         Some(Self { key, bearer })
     }
+
+    /// Returns `message` as a call that carries the key.
+    pub(crate) fn signed<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        let metadata = request.metadata_mut();
+        metadata.insert("authorization", self.bearer.clone());
+        request
+    }
 }
 
 /// Refuses calls without the fleet's key.
@@ -74,6 +87,8 @@
 pub(crate) struct Exchange {
     pub(crate) directory: Arc<Directory>,
     pub(crate) installer: Arc<Installer>,
+    /// What is read of each topic, for daemons that follow this one.
+    pub(crate) followed: Arc<[Followed; 2]>,
     pub(crate) key: FleetKey,
     /// Wakes an exchange when a caller turns out to have a newer version.
     pub(crate) behind: Arc<Notify>,
@@ -93,7 +108,7 @@
             .map(|digests| members.buckets().differing(&digests))
             .unwrap_or_default();
         let records = members.in_buckets(&differing.into_iter().collect());
-        let raw = self.installer.newer(theirs);
+        let config = self.installer.newer(theirs);
         if theirs > self.installer.version() {
             self.behind.notify_one();
         }
@@ -105,10 +120,35 @@
         }
         Ok(Response::new(ExchangeReply {
             version: self.installer.version().get(),
-            config: raw.map(|raw| raw.value.to_vec()).unwrap_or_default(),
+            config,
             records: Some(to_wire(&records)),
         }))
     }
+
+    async fn watch(&self, request: Request<WatchRequest>) -> Result<Response<WatchReply>, Status> {
+        let request = request.into_inner();
+        let wait = Duration::from_millis(u64::from(request.wait_ms)).min(HOLD);
+        let deadline = Instant::now() + wait;
+        let mut reads = self.followed(request.topic()).subscribe();
+        loop {
+            reads.mark_unchanged();
+            let reply = self.news(&request);
+            if !reply.follows || has_news(&reply) {
+                return Ok(Response::new(reply));
+            }
+            if timeout_at(deadline, reads.changed()).await.is_err() {
+                return Ok(Response::new(reply));
+            }
+        }
+    }
+}
+
+fn to_wire_entry(entry: store::Entry) -> Entry {
+    Entry {
+        key: entry.key,
+        value: entry.value,
+        revision: entry.revision.0,
+    }
 }
 
 fn to_wire(records: &[Record]) -> Records {
@@ -119,6 +159,38 @@
 }
 
 impl Exchange {
+    /// Returns what is read of `topic`.
+    pub(crate) fn followed(&self, topic: Topic) -> &Followed {
+        match topic {
+            Topic::Config => &self.followed[0],
+            Topic::Members => &self.followed[1],
+        }
+    }
+
+    /// Returns what was read since the revision and version that `request` names.
+    fn news(&self, request: &WatchRequest) -> WatchReply {
+        let followed = self.followed(request.topic());
+        let after = Revision(request.after);
+        let mut reply = WatchReply {
+            follows: followed.follows(),
+            revision: followed.at().max(after).0,
+            ..WatchReply::default()
+        };
+        match request.topic() {
+            Topic::Config => reply.config = self.installer.newer(Version::new(request.version)),
+            Topic::Members => match followed.since(after) {
+                Some(changes) => {
+                    reply.written = changes.entries.into_iter().map(to_wire_entry).collect();
+                    reply.deleted = changes.deleted;
+                    reply.revision = changes.revision.0;
+                }
+                // The caller has to read every key.
+                None => reply.follows = false,
+            },
+        }
+        reply
+    }
+
     /// Starts to answer exchanges on `listener`.
     pub(crate) fn serve(&self, listener: TcpListener) -> JoinHandle<()> {
         let service = PeersServer::new(self.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES);
@@ -155,20 +227,18 @@
 
     async fn call(&self, address: SocketAddr) -> Result<ExchangeReply, Status> {
         let members = self.directory.table().members();
-        let mut request = Request::new(ExchangeRequest {
+        let request = self.key.signed(ExchangeRequest {
             caller: Some((&members.own()).into()),
             version: self.installer.version().get(),
             digests: members.buckets().as_slice().to_vec(),
         });
-        let bearer = self.key.bearer.clone();
-        request.metadata_mut().insert("authorization", bearer);
         let reply = client(address).await?.exchange(request).await?;
         Ok(reply.into_inner())
     }
 
     fn take(&self, address: SocketAddr, reply: ExchangeReply) {
-        if !reply.config.is_empty() {
-            self.installer.offer(&reply.config, "peer");
+        if let Some(config) = &reply.config {
+            self.installer.offer_packed(config, "peer");
         }
         let mut records = Vec::new();
         for record in reply
--- a/crates/follow/src/tail.rs
+++ b/crates/follow/src/tail.rs
@@ -11,9 +11,9 @@
 /// Longest pause after a failed read: entries are to be back 2 s after the store is.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
-/// Wait of a watch while the store answers. Waiting watches are counted as calls, so long ones are
-/// cheap; the store takes 30 s at most.
-const LONG_WAIT: Duration = Duration::from_secs(25);
+/// Wait of a watch while the store answers. Watches are counted as calls, so long ones are cheap; one
+/// that outlasts the store's history, 20 s, would end in a read of every key.
+const LONG_WAIT: Duration = Duration::from_secs(12);
 
 /// Wait of the first watch after a failure, which is to show soon whether the store is back.
 const SHORT_WAIT: Duration = Duration::from_millis(500);
@@ -32,6 +32,15 @@
     },
 }
 
+/// How the changes of one gap are read once it has passed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum CatchUp {
+    /// By their history, which names the keys that were deleted.
+    History,
+    /// By the present values alone. A history repeats a large value for each of its changes.
+    Values,
+}
+
 /// Follows the keys under one prefix.
 ///
 /// Answers the load of a storm of changes: reads are at least a gap apart, so that changes in quick
@@ -39,17 +48,22 @@
 #[derive(Debug)]
 pub struct Tail {
     gap: Duration,
+    catch_up: CatchUp,
     at: Option<Revision>,
+    /// Whether values change and are read at each gap, without a watch.
+    catching_up: bool,
     next: Instant,
     failures: u32,
 }
 
 impl Tail {
     /// Returns a tail that reads at most once in `gap` while there are changes.
-    pub fn new(gap: Duration, now: Instant) -> Self {
+    pub fn new(gap: Duration, catch_up: CatchUp, now: Instant) -> Self {
         Self {
             gap,
+            catch_up,
             at: None,
+            catching_up: false,
             next: now,
             failures: 0,
         }
@@ -71,15 +85,29 @@
         (self.next, read)
     }
 
-    /// Notes a scan at `revision`.
-    pub fn scanned(&mut self, revision: Revision, now: Instant) {
-        self.at = Some(revision);
+    /// Notes a scan at `revision`, with changes since the last read or without.
+    pub fn scanned(&mut self, revision: Revision, changed: bool, now: Instant) {
         self.failures = 0;
+        if self.catching_up && changed {
+            self.next = now + self.gap;
+            return;
+        }
+        self.catching_up = false;
+        self.at = Some(revision);
         self.next = now;
     }
 
     /// Notes a watch that ended at `revision`, with changes or without.
     pub fn watched(&mut self, revision: Revision, changed: bool, now: Instant) {
+        self.relayed(revision, changed, now);
+        if changed && self.catch_up == CatchUp::Values {
+            self.catching_up = true;
+            self.at = None;
+        }
+    }
+
+    /// Notes the answer of a relay, which tells changes up to `revision` by differences.
+    pub fn relayed(&mut self, revision: Revision, changed: bool, now: Instant) {
         self.at = self.at.max(Some(revision));
         self.failures = 0;
         self.next = if changed { now + self.gap } else { now };
--- a/crates/follow/tests/decisions.rs
+++ b/crates/follow/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use follow::keeper::{Keeper, Step};
 use follow::roster::Roster;
-use follow::tail::{Read, Tail};
+use follow::tail::{CatchUp, Read, Tail};
 use model::VmId;
 use store::{Error, Expect, LeaseId, Revision};
 use tokio::time::Instant;
@@ -22,9 +22,9 @@
 #[test]
 fn storm_of_changes_is_read_at_most_once_a_gap() {
     let now = Instant::now();
-    let mut tail = Tail::new(millis(800), now);
+    let mut tail = Tail::new(millis(800), CatchUp::History, now);
     assert_eq!(tail.next(), (now, Read::Scan));
-    tail.scanned(Revision(10), now);
+    tail.scanned(Revision(10), true, now);
     let (due, read) = tail.next();
     assert_eq!(due, now);
     assert!(matches!(
@@ -41,11 +41,34 @@
     assert_eq!(tail.next().0, now);
 }
 
+#[test]
+fn large_values_that_changed_often_are_read_once() {
+    let now = Instant::now();
+    let mut tail = Tail::new(millis(800), CatchUp::Values, now);
+    tail.scanned(Revision(10), true, now);
+    tail.watched(Revision(11), true, now);
+    // A watch in between would return every value of the storm.
+    for revision in 12..15 {
+        assert_eq!(tail.next(), (now + millis(800), Read::Scan));
+        tail.scanned(Revision(revision), true, now);
+    }
+    tail.scanned(Revision(15), false, now);
+    let (due, read) = tail.next();
+    assert_eq!(due, now);
+    assert!(matches!(
+        read,
+        Read::Watch {
+            after: Revision(15),
+            ..
+        }
+    ));
+}
+
 #[test]
 fn compacted_history_is_read_anew() {
     let now = Instant::now();
-    let mut tail = Tail::new(millis(800), now);
-    tail.scanned(Revision(10), now);
+    let mut tail = Tail::new(millis(800), CatchUp::History, now);
+    tail.scanned(Revision(10), true, now);
     tail.failed(&away(), 0.0, now);
     assert!(matches!(tail.next().1, Read::Watch { .. }));
     tail.failed(&Error::Compacted, 0.0, now);
@@ -55,7 +78,7 @@
 #[test]
 fn store_is_asked_within_a_second_of_its_return() {
     let now = Instant::now();
-    let mut tail = Tail::new(millis(800), now);
+    let mut tail = Tail::new(millis(800), CatchUp::History, now);
     for _ in 0..100 {
         tail.failed(&away(), 1.0, now);
         assert!(tail.next().0 <= now + Duration::from_secs(1));
@@ -71,8 +94,8 @@
 #[test]
 fn watch_after_a_failure_is_short() {
     let now = Instant::now();
-    let mut tail = Tail::new(millis(800), now);
-    tail.scanned(Revision(1), now);
+    let mut tail = Tail::new(millis(800), CatchUp::History, now);
+    tail.scanned(Revision(1), true, now);
     tail.failed(&away(), 0.0, now);
     let Read::Watch { wait, .. } = tail.next().1 else {
         panic!("it watches");
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use model::{DomainName, Incarnation, RegionName, ServiceName, UnixMillis, VmId};
+use model::{DomainName, Incarnation, Rate, RegionName, ServiceName, UnixMillis, VmId};
 use wire::fleet;
 
 /// State of the upstream beside a daemon.
@@ -45,6 +45,8 @@
     pub region: RegionName,
     /// Calls that the upstream runs at once.
     pub slots: u32,
+    /// Rate of the VM's link, where it is known.
+    pub link: Option<Rate>,
     /// Whether others expired the record because its writer was not heard of.
     pub expired: bool,
     /// When the daemon left or was expired; absent while it lives.
@@ -116,6 +118,7 @@
             domain: record.domain.parse().map_err(|_| fail("domain"))?,
             region: record.region.parse().map_err(|_| fail("region"))?,
             slots: record.slots,
+            link: Rate::from_bits(record.link_bits),
             expired: record.expired,
             ended: (record.ended_ms != 0).then_some(UnixMillis::new(record.ended_ms)),
         })
@@ -139,6 +142,7 @@
             domain: record.domain.to_string(),
             region: record.region.to_string(),
             slots: record.slots,
+            link_bits: record.link.map_or(0, Rate::bits),
             expired: record.expired,
             ended_ms: record.ended.map_or(0, UnixMillis::get),
         }
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -17,6 +17,7 @@
         domain: "morava-a".parse().expect("a valid name"),
         region: "cz-morava".parse().expect("a valid name"),
         slots: 12,
+        link: None,
         expired: false,
         ended: None,
     }
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -149,6 +149,16 @@
 pub struct Rate(f64);
 
 impl Rate {
+    /// Returns a rate of `bits` a second; none if there are no bits.
+    pub fn from_bits(bits: u64) -> Option<Self> {
+        (bits > 0).then_some(Self(bits as f64))
+    }
+
+    /// Returns the bits a second.
+    pub fn bits(self) -> u64 {
+        self.0 as u64
+    }
+
     /// Returns the time in which `size` is transferred.
     pub fn time(self, size: Size) -> Duration {
         Duration::from_secs_f64(size.get() as f64 * 8.0 / self.0)
--- a/crates/proof/tests/chain/mod.rs
+++ b/crates/proof/tests/chain/mod.rs
@@ -79,6 +79,7 @@
         domain: "a".parse().expect("a valid name"),
         region: "proof".parse().expect("a valid name"),
         slots: 12,
+        link: None,
         expired: false,
         ended: None,
     }
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -83,6 +83,7 @@
             domain: domain.parse().expect("a valid name"),
             region: "cz-morava".parse().expect("a valid name"),
             slots: 12,
+            link: None,
             expired: false,
             ended: None,
         };
--- a/crates/table/tests/step.rs
+++ b/crates/table/tests/step.rs
@@ -33,6 +33,7 @@
         domain: format!("d{}", vm % 2).parse().expect("valid"),
         region: "r".parse().expect("valid"),
         slots: 12,
+        link: None,
         expired: false,
         ended: None,
     }
