Remember the farewell of an upstream that is not known yet

The daemon had started 0.2 s before its upstream's farewell and knew no upstream; it acknowledged the word and forgot it, and a heartbeat sent earlier made the upstream ready again: a call reached it 2.4 s after the acknowledgement.

Ruled out: a late read of the store (the gate beside the upstream sent the call, by the log).

A farewell of an upstream that is not known is kept, for the start it names or for every start before it came. Test: farewell_before_the_first_word_holds, which failed before.

--- a/crates/bench/src/spread/sizes.rs
+++ b/crates/bench/src/spread/sizes.rs
@@ -84,7 +84,7 @@
         domain: format!("domain-{}", index % DOMAINS),
         region: format!("region-{region}"),
         slots: 12,
-        link: None,
+        link_bits: 0,
         expired: false,
         ended_ms: 0,
     }
--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -1,14 +1,17 @@
 //! The upstream beside this daemon, as it announces itself.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use model::{Incarnation, InstanceId, Millis, ServiceName};
+use model::{Incarnation, InstanceId, Millis, ServiceName, UnixMillis};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::lock::lock;
+
 /// State that an upstream announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -64,6 +67,24 @@
 /// Time after the end of an upstream in which an older one's word is taken for a late one.
 const LATE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Farewells of upstreams that were not known that are remembered.
+const MAX_FAREWELLS: usize = 16;
+
+/// The word of an upstream that it leaves, heard by a daemon that did not know it.
+#[derive(Debug)]
+struct Farewell {
+    instance: InstanceId,
+    /// Last start that the word is for: the one that it names, or any before the word came.
+    until: Incarnation,
+}
+
+impl Farewell {
+    /// Returns whether `announcement` was made by the upstream that left.
+    fn covers(&self, announcement: &Announcement) -> bool {
+        announcement.instance.as_ref() == Some(&self.instance) && announcement.start <= self.until
+    }
+}
+
 /// The announced upstream and when it is no longer believed.
 #[derive(Debug, Clone, PartialEq)]
 struct Announced {
@@ -93,6 +114,7 @@
 pub struct Backend {
     silence: Millis,
     announced: watch::Sender<Option<Announced>>,
+    farewells: Mutex<VecDeque<Farewell>>,
 }
 
 impl Backend {
@@ -101,6 +123,7 @@
         Arc::new(Self {
             silence,
             announced: watch::Sender::new(None),
+            farewells: Mutex::default(),
         })
     }
 
@@ -111,6 +134,9 @@
     pub fn announce(&self, announcement: Announcement) {
         let now = Instant::now();
         let expires = now + self.silence.duration();
+        let left = lock(&self.farewells)
+            .iter()
+            .any(|farewell| farewell.covers(&announcement));
         self.announced.send_if_modified(|announced| {
             let old = announced.as_ref();
             let late = old.is_some_and(|old| {
@@ -120,8 +146,8 @@
             if late {
                 return false;
             }
-            let drained =
-                old.is_some_and(|old| old.drained && old.announcement.is_same(&announcement));
+            let drained = left
+                || old.is_some_and(|old| old.drained && old.announcement.is_same(&announcement));
             *announced = Some(Announced {
                 announcement,
                 expires,
@@ -133,7 +159,23 @@
 
     /// Takes the word of the upstream `instance` that it leaves; returns whether it is the one that
     /// is known. `start` is the start that said so, where it is told.
+    ///
+    /// A daemon that has just started may hear the farewell before a heartbeat that was sent earlier.
     pub fn leave(&self, instance: &InstanceId, start: Option<Incarnation>) -> bool {
+        let known = self.leave_known(instance, start);
+        if !known {
+            let mut farewells = lock(&self.farewells);
+            farewells.push_back(Farewell {
+                instance: instance.clone(),
+                until: start.unwrap_or(Incarnation::new(UnixMillis::now().get())),
+            });
+            let excess = farewells.len().saturating_sub(MAX_FAREWELLS);
+            farewells.drain(..excess);
+        }
+        known
+    }
+
+    fn leave_known(&self, instance: &InstanceId, start: Option<Incarnation>) -> bool {
         self.announced.send_if_modified(|announced| {
             let Some(old) = announced else {
                 return false;
