--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -59,6 +59,11 @@
         self.earn(PARTS);
     }
 
+    /// Returns the whole retries left.
+    pub fn left(&self) -> u32 {
+        self.parts / PARTS
+    }
+
     /// Changes how many retries the budget holds at most.
     pub fn resize(&mut self, room: u32) {
         self.room = room;
@@ -92,6 +97,11 @@
         self.with(&service.name, Budget::spend)
     }
 
+    /// Returns the retries of `service` that are left.
+    pub fn left(&self, service: &Service) -> u32 {
+        self.with(&service.name, |budget| budget.left())
+    }
+
     /// Gives back a retry of `service` that did not reach an upstream.
     pub fn refund(&self, service: &Service) {
         self.with(&service.name, Budget::refund);
--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the call path.
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Buckets of the duration histogram, in seconds.
 const DURATION_BUCKETS: &[f64] = &[
@@ -17,6 +19,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Tries after the first one, by service.
     pub(crate) retries: IntCounterVec,
+    /// Retries left, by service.
+    pub(crate) budget: IntGaugeVec,
     /// Duration of calls until their answer's head, in seconds.
     pub(crate) duration: HistogramVec,
     /// Calls in flight at the gate.
@@ -56,6 +60,13 @@
                 Opts::new("sardinestall_retries_total", "Tries after the first one."),
                 &["service"],
             )?,
+            budget: IntGaugeVec::new(
+                Opts::new(
+                    "sardinestall_retry_budget_left",
+                    "Retries that the calls of a service may take here at once.",
+                ),
+                &["service"],
+            )?,
             duration: HistogramVec::new(duration, &["side"])?,
             in_flight: IntGauge::new(
                 "sardinestall_gate_calls_in_flight",
@@ -72,6 +83,7 @@
         registry.register(Box::new(metrics.calls.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.budget.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         Ok(metrics)
--- a/crates/call/src/tries.rs
+++ b/crates/call/src/tries.rs
@@ -115,9 +115,18 @@
     }
 
     /// Tries one upstream after the other while the rules and the budget allow it.
-    pub(crate) async fn send(&self, call: &Call, mut payload: Payload) -> Tried {
+    pub(crate) async fn send(&self, call: &Call, payload: Payload) -> Tried {
         let index = choose::pool(&call.route, &mut rand::rng());
         let pool = call.snapshot.pool(index);
+        let tried = self.send_to(call, pool, payload).await;
+        let labels = [pool.service.name.as_str()];
+        let left = self.budgets.left(&pool.service);
+        let gauge = self.metrics.budget.with_label_values(&labels);
+        gauge.set(i64::from(left));
+        tried
+    }
+
+    async fn send_to(&self, call: &Call, pool: &PoolTable, mut payload: Payload) -> Tried {
         if let Some(slack) = self.origin.retry_slack {
             let room = budget::share(slack, call.daemons);
             self.budgets.resize(&pool.service, room);
--- a/crates/follow/src/metrics.rs
+++ b/crates/follow/src/metrics.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use prometheus::IntGauge;
+use member::{Record, UpstreamState};
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
+use prometheus::{IntGauge, IntGaugeVec, Opts};
 
 use crate::node::Shared;
 
@@ -13,10 +14,26 @@
     version: IntGauge,
     age: IntGauge,
     members: IntGauge,
+    /// Daemons known, by the state of the upstream beside them.
+    states: IntGaugeVec,
     connected: IntGauge,
     shared: Arc<Shared>,
 }
 
+/// States by which daemons are counted.
+const STATES: [&str; 6] = ["absent", "warming", "ready", "draining", "left", "expired"];
+
+fn state(record: &Record) -> &'static str {
+    match record.state {
+        _ if record.expired => "expired",
+        UpstreamState::Absent => "absent",
+        UpstreamState::Warming => "warming",
+        UpstreamState::Ready => "ready",
+        UpstreamState::Draining => "draining",
+        UpstreamState::Left => "left",
+    }
+}
+
 fn gauge(name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
     IntGauge::new(name, help)
 }
@@ -37,6 +54,13 @@
                 "sardinestall_members",
                 "Daemons known that have not left or expired.",
             )?,
+            states: IntGaugeVec::new(
+                Opts::new(
+                    "sardinestall_members_in_state",
+                    "Daemons known, by the state of the upstream beside them.",
+                ),
+                &["state"],
+            )?,
             connected: gauge(
                 "sardinestall_connected",
                 "Whether the store answers: 1 or 0.",
@@ -52,23 +76,25 @@
 
 impl Collector for State {
     fn desc(&self) -> Vec<&Desc> {
-        self.gauges()
-            .into_iter()
-            .flat_map(Collector::desc)
-            .collect()
+        let gauges = self.gauges().into_iter().flat_map(Collector::desc);
+        gauges.chain(self.states.desc()).collect()
     }
 
     fn collect(&self) -> Vec<MetricFamily> {
-        let members = self.shared.directory.table().members().live();
+        let members = self.shared.directory.table().members();
+        for state in STATES {
+            self.states.with_label_values(&[state]).set(0);
+        }
+        for record in members.all() {
+            self.states.with_label_values(&[state(&record)]).inc();
+        }
         self.version
             .set(self.shared.installer.version().get() as i64);
         self.age.set(self.shared.installer.age().as_secs() as i64);
-        self.members.set(members as i64);
+        self.members.set(members.live() as i64);
         self.connected
             .set(i64::from(*self.shared.answering.borrow()));
-        self.gauges()
-            .into_iter()
-            .flat_map(Collector::collect)
-            .collect()
+        let gauges = self.gauges().into_iter().flat_map(Collector::collect);
+        gauges.chain(self.states.collect()).collect()
     }
 }
