--- a/crates/harness/src/cut.rs
+++ b/crates/harness/src/cut.rs
@@ -1,26 +1,64 @@
-//! A forwarder on the loopback that can cut what goes through it, as a network does: silently.
+//! A forwarder on the loopback that harms what goes through it, as a network does.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 /// Bytes forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
-/// Where connections go, and whether anything gets through.
+/// What becomes of the bytes that go through.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Harm {
+    /// They pass.
+    None,
+    /// They wait, and connections stand still.
+    Cut,
+    /// Those from the side that connects wait.
+    CutOut,
+    /// Those to the side that connects wait.
+    CutBack,
+    /// They pass this much later.
+    Delay(Duration),
+    /// Connections end, and new ones do so at once.
+    Reset,
+}
+
+/// Direction of bytes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Way {
+    Out,
+    Back,
+}
+
+impl Harm {
+    /// Returns whether bytes that go `way` wait.
+    fn holds(self, way: Way) -> bool {
+        match self {
+            Self::Cut => true,
+            Self::CutOut => way == Way::Out,
+            Self::CutBack => way == Way::Back,
+            Self::None | Self::Delay(_) | Self::Reset => false,
+        }
+    }
+}
+
+/// Where connections go, and what becomes of them.
 #[derive(Debug, Clone, Copy)]
 struct State {
     target: Option<SocketAddr>,
-    cut: bool,
+    harm: Harm,
 }
 
-/// A forwarder to one address. While it is cut, bytes wait and connections stand still.
+/// A forwarder to one address.
 #[derive(Debug)]
 pub struct Cut {
     address: SocketAddr,
@@ -39,7 +77,7 @@
         let address = listener.local_addr()?;
         let state = watch::Sender::new(State {
             target: None,
-            cut: false,
+            harm: Harm::None,
         });
         let state = Arc::new(state);
         let mut tasks = JoinSet::new();
@@ -63,12 +101,17 @@
 
     /// Lets nothing through any more.
     pub fn cut(&self) {
-        self.state.send_modify(|state| state.cut = true);
+        self.harm(Harm::Cut);
+    }
+
+    /// Harms what goes through from now on.
+    pub fn harm(&self, harm: Harm) {
+        self.state.send_modify(|state| state.harm = harm);
     }
 
     /// Lets everything through again, and what waited.
     pub fn heal(&self) {
-        self.state.send_modify(|state| state.cut = false);
+        self.harm(Harm::None);
     }
 }
 
@@ -87,7 +130,7 @@
 }
 
 async fn forward(near: TcpStream, mut state: watch::Receiver<State>) {
-    let Some(target) = open_target(&mut state).await else {
+    let Some(target) = open_target(&mut state, Way::Out).await else {
         return;
     };
     let Ok(far) = TcpStream::connect(target).await else {
@@ -97,22 +140,38 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    tokio::join!(
-        copy(near_read, far_write, state.clone()),
-        copy(far_read, near_write, state),
-    );
+    let both = async {
+        tokio::join!(
+            copy(near_read, far_write, state.clone(), Way::Out),
+            copy(far_read, near_write, state.clone(), Way::Back),
+        )
+    };
+    let mut resets = state.clone();
+    tokio::select! {
+        _ = both => {}
+        _ = resets.wait_for(|state| state.harm == Harm::Reset) => {}
+    }
 }
 
 /// Copies one direction to its end.
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut state: watch::Receiver<State>) {
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<State>,
+    way: Way,
+) {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let Ok(count) = from.read(&mut chunk).await else {
             return;
         };
-        if open_target(&mut state).await.is_none() {
+        if open_target(&mut state, way).await.is_none() {
             return;
         }
+        let harm = state.borrow().harm;
+        if let Harm::Delay(delay) = harm {
+            sleep(delay).await;
+        }
         if count == 0 {
             let _ = to.shutdown().await;
             return;
@@ -123,8 +182,8 @@
     }
 }
 
-/// Waits until the forwarder has a target and is not cut.
-async fn open_target(state: &mut watch::Receiver<State>) -> Option<SocketAddr> {
-    let open = state.wait_for(|state| !state.cut && state.target.is_some());
+/// Waits until the forwarder has a target and bytes pass `way`.
+async fn open_target(state: &mut watch::Receiver<State>, way: Way) -> Option<SocketAddr> {
+    let open = state.wait_for(|state| !state.harm.holds(way) && state.target.is_some());
     open.await.ok()?.target
 }
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -8,7 +8,7 @@
 mod process;
 
 pub use caller::{Answer, Caller};
-pub use cut::Cut;
+pub use cut::{Cut, Harm};
 pub use error::Error;
 pub use fleet::{DaemonProcess, Fleet, KvProcess, TOKEN, UpstreamProcess, VmSpec, wait_until};
 pub use process::{Process, binary};
