--- a/crates/follow/src/polls.rs
+++ b/crates/follow/src/polls.rs
@@ -31,6 +31,10 @@
 /// Time in which a sign of life must come; narrow links hold packets for some 300 ms.
 const PING_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Connections kept at most; all are opened anew beyond that. A daemon follows two relays, and their
+/// addresses change with restarts.
+const MAX_CLIENTS: usize = 16;
+
 /// The relays and the connections to them.
 #[derive(Debug)]
 pub(crate) struct Polls {
@@ -103,7 +107,11 @@
             .keep_alive_timeout(PING_TIMEOUT)
             .connect_lazy();
         let client = PeersClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
-        lock(&self.clients).insert(address, client.clone());
+        let mut clients = lock(&self.clients);
+        if clients.len() >= MAX_CLIENTS {
+            clients.clear();
+        }
+        clients.insert(address, client.clone());
         Ok(client)
     }
 }
