Let a refresh that does not come through be made up for at a relay

By the log, sidecar-morava-b-19 read the store itself after its relays' connections were reset, saw a change, and then read the whole value, 392 kB over 5 Mbit, which did not come within the call's time limit. It repeated that read for 17 s; a read of every key never goes to a relay.

Ruled out: the relays (all six strong VMs had each version within 1.3 s), the clock's step (before the storm).

While values change, the next read is a refresh, which relays answer, too. Test: refresh_that_fails_can_be_made_up_for_at_a_relay, which fails without.

--- a/crates/follow/src/tail.rs
+++ b/crates/follow/src/tail.rs
@@ -23,6 +23,11 @@
 pub enum Read {
     /// Read every key.
     Scan,
+    /// Read every key in the store, or wait for changes elsewhere: values change in quick succession.
+    Refresh {
+        /// Revision after which changes are wanted.
+        after: Revision,
+    },
     /// Wait for changes.
     Watch {
         /// Revision after which changes are wanted.
@@ -73,6 +78,7 @@
     pub fn next(&self) -> (Instant, Read) {
         let read = match self.at {
             None => Read::Scan,
+            Some(after) if self.catching_up => Read::Refresh { after },
             Some(after) => Read::Watch {
                 after,
                 wait: if self.failures == 0 {
@@ -88,27 +94,25 @@
     /// Notes a scan at `revision`, with changes since the last read or without.
     pub fn scanned(&mut self, revision: Revision, changed: bool, now: Instant) {
         self.failures = 0;
-        if self.catching_up && changed {
-            self.next = now + self.gap;
-            return;
-        }
-        self.catching_up = false;
         self.at = Some(revision);
-        self.next = now;
+        self.catching_up = self.catching_up && changed;
+        self.next = if self.catching_up {
+            now + self.gap
+        } else {
+            now
+        };
     }
 
     /// Notes a watch that ended at `revision`, with changes or without.
     pub fn watched(&mut self, revision: Revision, changed: bool, now: Instant) {
         self.relayed(revision, changed, now);
-        if changed && self.catch_up == CatchUp::Values {
-            self.catching_up = true;
-            self.at = None;
-        }
+        self.catching_up = changed && self.catch_up == CatchUp::Values;
     }
 
     /// Notes the answer of a relay, which tells changes up to `revision` by differences.
     pub fn relayed(&mut self, revision: Revision, changed: bool, now: Instant) {
         self.at = self.at.max(Some(revision));
+        self.catching_up = false;
         self.failures = 0;
         self.next = if changed { now + self.gap } else { now };
     }
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -61,10 +61,10 @@
         sleep_until(due).await;
         let source = match read {
             Read::Scan => Source::Store,
-            Read::Watch { .. } => source(&shared),
+            Read::Refresh { .. } | Read::Watch { .. } => source(&shared),
         };
         match (source, read) {
-            (Source::Relays(relays), Read::Watch { after, .. }) => {
+            (Source::Relays(relays), Read::Refresh { after } | Read::Watch { after, .. }) => {
                 topic.followed(&shared).set_follows(false);
                 poll(&shared, &topic, &relays, after, &mut tail).await;
             }
@@ -152,7 +152,7 @@
     tail: &mut Tail,
 ) -> Result<(), Error> {
     match read {
-        Read::Scan => {
+        Read::Scan | Read::Refresh { .. } => {
             let scan = shared.store.scan(topic.prefix()).await?;
             let changed = take_in_scan(shared, topic, &scan);
             tail.scanned(scan.revision, changed, Instant::now());
