Call one piece where the change had written two

From a last read of the whole change; behaviour stays, but for the text with which a daemon without the fleet's key is refused, now one of the two there were.

- wire::FleetKey, wire::KeyCheck and wire::endpoint serve follow and spread, which had a signer, a check and an endpoint each (follow had two endpoints).
- model::lock takes a lock in every crate; there were five functions and some thirty spelled-out copies.
- daemon::ingress_settings serves both forms of the daemon.
- follow::Followed keeps the revision of the last read once, in the channel that tells of it; there were a counter and an atomic beside it.
The gaps between reads are in topic, their only user.

--- a/crates/bench/src/call/drain.rs
+++ b/crates/bench/src/call/drain.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use call::Readiness;
 use clap::Args as ClapArgs;
 use harness::{Caller, Error, Fleet, VmSpec, wait_until};
 use http::Method;
+use model::lock;
 use serde::Serialize;
 use standin::Behaviour;
 use tokio::time::sleep;
@@ -107,7 +108,7 @@
 
 fn ask(i: u64, callers: &Callers) -> Ask {
     let address = {
-        let callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
+        let callers = lock(callers);
         callers[i as usize % callers.len()]
     };
     if i.is_multiple_of(2) {
@@ -169,7 +170,7 @@
     })
     .await?;
     {
-        let mut callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut callers = lock(callers);
         callers.remove(0);
         callers.push(address);
     }
--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -1,9 +1,9 @@
 //! Admission of calls to the upstream beside this daemon.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use model::{Priority, RouteName};
+use model::{Priority, RouteName, lock};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
@@ -211,6 +211,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -5,13 +5,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use model::{Incarnation, InstanceId, Millis, ServiceName, UnixMillis};
+use model::{Incarnation, InstanceId, Millis, ServiceName, UnixMillis, lock};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::lock::lock;
-
 /// State that an upstream announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/call/src/bounds.rs
+++ b/crates/call/src/bounds.rs
@@ -2,13 +2,13 @@
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
-use model::Size;
+use model::{Size, lock};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -34,7 +34,7 @@
 
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, Option<Body>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -1,9 +1,9 @@
 //! Retry budgets: how many tries a service's calls may take beside their first.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
-use model::{Service, ServiceName};
+use model::{Service, ServiceName, lock};
 
 /// Retries that a budget holds at most where the fleet's share is not known.
 const MAX_RETRIES: u32 = 10;
@@ -108,7 +108,7 @@
     }
 
     fn with<T>(&self, name: &ServiceName, change: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut budgets = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut budgets = lock(&self.0);
         if let Some(budget) = budgets.get_mut(name) {
             return change(budget);
         }
--- a/crates/call/src/connections.rs
+++ b/crates/call/src/connections.rs
@@ -2,13 +2,14 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use model::lock;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
@@ -130,7 +131,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, VecDeque<Idle>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 }
 
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -5,7 +5,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use model::{ConnectionLimits, Rate, RouteName, Secret, Size};
+use model::{ConnectionLimits, Rate, RouteName, Secret, Size, lock};
 use prometheus::IntGauge;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -24,7 +24,6 @@
 };
 use crate::keys::{Claim, Entry, Fate, Keys};
 use crate::limit::Reply;
-use crate::lock::lock;
 use crate::payload::SMALL_LIMIT;
 use crate::queue::Shed;
 use crate::request::priority;
--- a/crates/call/src/intake.rs
+++ b/crates/call/src/intake.rs
@@ -19,8 +19,8 @@
 use tokio::task::JoinHandle;
 
 use crate::body::{Body, empty};
-use crate::lock::lock;
 use crate::scan::Scanner;
+use model::lock;
 
 /// Bytes read ahead of the server at most.
 const MAX_BUFFER: usize = 64 << 10;
--- a/crates/call/src/keys.rs
+++ b/crates/call/src/keys.rs
@@ -1,9 +1,10 @@
 //! Keys of calls that may run only once, as one gate remembers them.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use model::lock;
 use tokio::time::Instant;
 
 /// Time that a key is remembered after its call ended.
@@ -105,7 +106,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, KeyTable> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod kinds;
 pub mod limit;
 mod links;
-mod lock;
 mod metrics;
 mod outcome;
 mod payload;
--- a/crates/call/src/links.rs
+++ b/crates/call/src/links.rs
@@ -2,13 +2,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use model::lock;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -80,7 +81,7 @@
     }
 
     fn place(&self, address: SocketAddr) -> Arc<Place> {
-        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut links = lock(&self.links);
         let now = Instant::now();
         if links.len() >= MAX_LINKS && !links.contains_key(&address) {
             let oldest = links.iter().min_by_key(|(_, link)| link.used);
--- a/crates/call/src/reserve.rs
+++ b/crates/call/src/reserve.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use crate::lock::lock;
+use model::lock;
 
 /// Time that a slot is held for a call: a few round trips between failure domains.
 const HOLD_LIMIT: Duration = Duration::from_millis(500);
--- a/crates/call/src/watch.rs
+++ b/crates/call/src/watch.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use model::{DomainName, Millis, RegionName, RouteName};
+use model::{DomainName, Millis, RegionName, RouteName, lock};
 use table::Upstream;
 use tokio::time::Instant;
 
@@ -127,7 +127,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,7 +6,8 @@
 
 use admin::{Api, HttpServer, Operator, Operators};
 use call::{
-    Announcement, Backend, Gate, Ingress, IngressSettings, Metrics, OwnDialect, Readiness, Server,
+    Announcement, Backend, Dialect, Gate, Ingress, IngressSettings, Metrics, OwnDialect, Readiness,
+    Server,
 };
 use ledger::Ledger;
 use member::{Members, Record, UpstreamState};
@@ -187,14 +188,7 @@
         );
         let ingress = Ingress::open(
             Arc::clone(&table),
-            IngressSettings {
-                domain: settings.vm.failure_domain.clone(),
-                region: settings.vm.region.clone(),
-                service: settings.vm.service.clone(),
-                key,
-                retry_slack: None,
-                dialect,
-            },
+            ingress_settings(&settings, None, dialect),
             metrics,
             log.clone(),
         );
@@ -296,6 +290,22 @@
     };
 }
 
+/// Returns the settings of the ingress; `retry_slack` is shared by the daemons of the fleet.
+pub(crate) fn ingress_settings(
+    settings: &Settings,
+    retry_slack: Option<u32>,
+    dialect: Arc<dyn Dialect>,
+) -> IngressSettings {
+    IngressSettings {
+        domain: settings.vm.failure_domain.clone(),
+        region: settings.vm.region.clone(),
+        service: settings.vm.service.clone(),
+        key: settings.fleet.key.clone(),
+        retry_slack,
+        dialect,
+    }
+}
+
 pub(crate) fn own_record(settings: &Settings, addresses: &Addresses) -> Record {
     Record {
         vm: settings.vm.id.clone(),
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use call::{Backend, Dialect, Gate, Ingress, IngressSettings, Metrics, Server};
+use call::{Backend, Dialect, Gate, Ingress, Metrics, Server};
 use follow::{ConfigFormat, Follower};
 use member::{Members, UpstreamState};
 use model::Millis;
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::counted::CountedStore;
-use crate::daemon::{Addresses, Listeners, own_record, watch_backend};
+use crate::daemon::{Addresses, Listeners, ingress_settings, own_record, watch_backend};
 use crate::{Settings, SpawnError, StopReport};
 
 /// Time after the signal in which callers hear that the daemon is not ready and go elsewhere. They
@@ -116,14 +116,7 @@
         );
         let ingress = Ingress::open(
             Arc::clone(&table),
-            IngressSettings {
-                domain: settings.vm.failure_domain.clone(),
-                region: settings.vm.region.clone(),
-                service: settings.vm.service.clone(),
-                key: settings.fleet.key.clone(),
-                retry_slack: Some(settings.fleet.retry_slack),
-                dialect: ports.dialect,
-            },
+            ingress_settings(&settings, Some(settings.fleet.retry_slack), ports.dialect),
             metrics,
             log.clone(),
         );
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -2,14 +2,14 @@
 
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use admin::{Client, TokenHash};
 use daemon::{
     Daemon, FleetSettings, ListenSettings, LogSettings, OperatorSettings, Settings, StoreSettings,
     UpstreamSettings, VmSettings,
 };
-use model::Secret;
+use model::{Secret, lock};
 use slog::{Drain, Logger, o};
 use standin::Kv;
 
@@ -29,14 +29,14 @@
 impl Written {
     /// Returns what was written so far.
     pub(crate) fn text(&self) -> String {
-        let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let bytes = lock(&self.0);
         String::from_utf8_lossy(&bytes).into_owned()
     }
 }
 
 impl Write for Written {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut written = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut written = lock(&self.0);
         written.write(bytes)
     }
 
--- a/crates/follow/src/config.rs
+++ b/crates/follow/src/config.rs
@@ -1,10 +1,10 @@
 //! Puts the configurations that the store or a peer holds in force.
 
 use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use model::{Change, Digest, State, UnixMillis, Version};
+use model::{Change, Digest, State, UnixMillis, Version, lock};
 use slog::{Logger, info, warn};
 use store::Entry;
 use table::{Applied, Table, Whole};
@@ -194,7 +194,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Kept> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.kept)
     }
 }
 
--- a/crates/follow/src/followed.rs
+++ b/crates/follow/src/followed.rs
@@ -1,8 +1,9 @@
 //! What this daemon reads from the store, for the daemons that follow it.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
 
+use model::lock;
 use store::{Changes, Entry, Revision};
 use tokio::sync::watch;
 
@@ -13,9 +14,8 @@
 pub(crate) struct Followed {
     /// Whether the store itself is followed, and answers.
     follows: AtomicBool,
-    at: AtomicU64,
-    /// Counts the reads that brought changes.
-    reads: watch::Sender<u64>,
+    /// Revision of the last read.
+    at: watch::Sender<Revision>,
     feed: Mutex<Feed>,
 }
 
@@ -23,8 +23,7 @@
     fn default() -> Self {
         Self {
             follows: AtomicBool::new(false),
-            at: AtomicU64::new(0),
-            reads: watch::Sender::new(0),
+            at: watch::Sender::new(Revision(0)),
             feed: Mutex::default(),
         }
     }
@@ -55,13 +54,12 @@
 
     /// Notes a read at `revision`.
     pub(crate) fn read(&self, revision: Revision) {
-        self.at.fetch_max(revision.0, Ordering::Relaxed);
-        self.reads.send_modify(|reads| *reads += 1);
+        self.at.send_modify(|at| *at = revision.max(*at));
     }
 
     /// Returns the revision of the last read.
     pub(crate) fn at(&self) -> Revision {
-        Revision(self.at.load(Ordering::Relaxed))
+        *self.at.borrow()
     }
 
     /// Returns what changed after `after`; nothing if that is too long ago to tell.
@@ -70,11 +68,11 @@
     }
 
     /// Returns what tells of each read.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
-        self.reads.subscribe()
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.at.subscribe()
     }
 
     fn lock(&self) -> MutexGuard<'_, Feed> {
-        self.feed.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.feed)
     }
 }
--- a/crates/follow/src/members.rs
+++ b/crates/follow/src/members.rs
@@ -1,10 +1,10 @@
 //! Membership records in the store and from peers.
 
 use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use member::{LinkId, Record, UpstreamState};
-use model::{Incarnation, VmId};
+use model::{Incarnation, VmId, lock};
 use prost::Message;
 use slog::{Logger, info, warn};
 use store::Entry;
@@ -189,6 +189,6 @@
     }
 
     fn roster(&self) -> MutexGuard<'_, Roster> {
-        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.roster)
     }
 }
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -15,23 +15,17 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, sleep_until};
+use wire::FleetKey;
 
 use crate::config::Installer;
 use crate::keeper::{Keeper, Step};
 use crate::members::{self, Directory};
 use crate::metrics::State;
-use crate::peers::{Exchange, FleetKey};
+use crate::peers::Exchange;
 use crate::polls::Polls;
 use crate::topic::{Topic, follow};
 use crate::{ConfigFormat, SpawnError};
 
-/// Least time between two reads of the configuration while it changes. Accepted versions are to be in
-/// force within 2 s.
-pub(crate) const CONFIG_GAP: Duration = Duration::from_millis(1_000);
-
-/// Least time between two reads of the records while they change.
-pub(crate) const MEMBERS_GAP: Duration = Duration::from_millis(900);
-
 /// Time that a daemon that starts waits for its upstream's first word before it writes its record: a
 /// heartbeat and some of its lateness. One record then takes the place of two.
 const FIRST_WORD: Duration = Duration::from_millis(2_500);
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use member::{Buckets, Record};
-use model::{Secret, UnixMillis, Version};
+use model::{UnixMillis, Version};
 use rand::seq::IndexedRandom;
 use slog::{Logger, debug};
 use store::Revision;
@@ -14,16 +14,15 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tokio_stream::wrappers::TcpListenerStream;
-use tonic::metadata::{Ascii, MetadataValue};
-use tonic::service::Interceptor;
 use tonic::service::interceptor::InterceptedService;
-use tonic::transport::{Channel, Endpoint, Server};
+use tonic::transport::{Channel, Server};
 use tonic::{Request, Response, Status};
 use wire::fleet::peers_client::PeersClient;
 use wire::fleet::peers_server::{Peers, PeersServer};
 use wire::fleet::{
     Entry, ExchangeReply, ExchangeRequest, Records, Topic, WatchReply, WatchRequest,
 };
+use wire::{FleetKey, endpoint};
 
 use crate::config::Installer;
 use crate::followed::Followed;
@@ -42,46 +41,6 @@
 /// Records sent in one exchange; the rest waits for the next one.
 const MAX_RECORDS: usize = 2_000;
 
-/// The fleet's key as calls carry it.
-#[derive(Debug, Clone)]
-pub(crate) struct FleetKey {
-    key: Secret,
-    bearer: MetadataValue<Ascii>,
-}
-
-impl FleetKey {
-    /// Returns the key, if a header can carry it.
-    pub(crate) fn new(key: Secret) -> Option<Self> {
-        let bearer = format!("Bearer {}", key.expose()).parse().ok()?;
-        Some(Self { key, bearer })
-    }
-
-    /// Returns `message` as a call that carries the key.
-    pub(crate) fn signed<T>(&self, message: T) -> Request<T> {
-        let mut request = Request::new(message);
-        let metadata = request.metadata_mut();
-        metadata.insert("authorization", self.bearer.clone());
-        request
-    }
-}
-
-/// Refuses calls without the fleet's key.
-#[derive(Debug, Clone)]
-struct KeyCheck(FleetKey);
-
-impl Interceptor for KeyCheck {
-    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
-        let sent = request.metadata().get("authorization");
-        let sent = sent.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
-        if sent.is_some_and(|key| self.0.key.matches(key)) {
-            return Ok(request);
-        }
-        Err(Status::unauthenticated(
-            "the caller does not have the fleet's key; set `fleet.key` alike on every daemon",
-        ))
-    }
-}
-
 /// This daemon's side of the exchanges.
 #[derive(Debug, Clone)]
 pub(crate) struct Exchange {
@@ -194,7 +153,7 @@
     /// Starts to answer exchanges on `listener`.
     pub(crate) fn serve(&self, listener: TcpListener) -> JoinHandle<()> {
         let service = PeersServer::new(self.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES);
-        let service = InterceptedService::new(service, KeyCheck(self.key.clone()));
+        let service = InterceptedService::new(service, self.key.check());
         let log = self.log.clone();
         tokio::spawn(async move {
             let incoming = TcpListenerStream::new(listener);
@@ -302,10 +261,7 @@
 /// Connects to the daemon at `address`. Exchanges are rare, and a connection of its own for each
 /// never meets one that has gone silent.
 async fn client(address: SocketAddr) -> Result<PeersClient<Channel>, Status> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|error| Status::invalid_argument(error.to_string()))?;
-    let channel = endpoint
-        .tcp_nodelay(true)
+    let channel = endpoint(address)?
         .connect()
         .await
         .map_err(|error| Status::unavailable(error.to_string()))?;
--- a/crates/follow/src/polls.rs
+++ b/crates/follow/src/polls.rs
@@ -2,20 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use member::Record;
-use model::VmId;
+use model::{VmId, lock};
 use slog::{Logger, debug};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 use tonic::{Request, Status};
 use wire::fleet::peers_client::PeersClient;
 use wire::fleet::{WatchReply, WatchRequest};
+use wire::{FleetKey, endpoint};
 
-use crate::peers::{FleetKey, MAX_MESSAGE_BYTES};
+use crate::peers::MAX_MESSAGE_BYTES;
 use crate::relays::{Relays, Source};
 
 /// Longest time that a relay holds a question without news.
@@ -98,10 +99,7 @@
         if let Some(client) = lock(&self.clients).get(&address) {
             return Ok(client.clone());
         }
-        let endpoint = Endpoint::from_shared(format!("http://{address}"))
-            .map_err(|error| Status::invalid_argument(error.to_string()))?;
-        let channel = endpoint
-            .tcp_nodelay(true)
+        let channel = endpoint(address)?
             .connect_timeout(PING_TIMEOUT)
             .http2_keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
@@ -134,7 +132,3 @@
     };
     (relay, answer.map(tonic::Response::into_inner))
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use member::Record;
 use slog::info;
@@ -14,11 +15,18 @@
 use crate::ConfigFormat;
 use crate::followed::Followed;
 use crate::members;
-use crate::node::{CONFIG_GAP, MEMBERS_GAP, Shared};
+use crate::node::Shared;
 use crate::polls::{HOLD, has_news};
 use crate::relays::Source;
 use crate::tail::{CatchUp, Read, Tail};
 
+/// Least time between two reads of the configuration while it changes. Accepted versions are to be in
+/// force within 2 s.
+const CONFIG_GAP: Duration = Duration::from_millis(1_000);
+
+/// Least time between two reads of the records while they change.
+const MEMBERS_GAP: Duration = Duration::from_millis(900);
+
 /// What is followed.
 #[derive(Debug)]
 pub(crate) enum Topic {
--- a/crates/ledger/src/accept.rs
+++ b/crates/ledger/src/accept.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use futures_util::future::try_join_all;
 use model::{
     AcceptId, Base, Change, Config, Digest, Key, MAX_CHANGE_BYTES, OperatorName, State, TeamName,
-    UnixMillis, Version,
+    UnixMillis, Version, lock,
 };
 use tokio::sync::oneshot;
 
@@ -78,7 +78,7 @@
 
 impl Queue {
     fn waiting(&self) -> MutexGuard<'_, VecDeque<Waiting>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.waiting)
     }
 
     /// Adds `waiting` unless the queue is full.
--- a/crates/ledger/src/chain.rs
+++ b/crates/ledger/src/chain.rs
@@ -1,8 +1,8 @@
 //! Reading the chain.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use model::{AcceptId, Base, Change, Digest, State, Version};
+use model::{AcceptId, Base, Change, Digest, State, Version, lock};
 use serde::{Deserialize, Serialize};
 use store::{Revision, Store};
 
@@ -379,7 +379,7 @@
     }
 
     fn cache(&self) -> MutexGuard<'_, Cache> {
-        self.cache.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.cache)
     }
 }
 
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -3,10 +3,10 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use model::{DomainName, ServiceName, UnixMillis, VmId};
+use model::{DomainName, ServiceName, UnixMillis, VmId, lock};
 use tokio::sync::watch;
 
 use crate::{BucketIndex, Buckets, Record, UpstreamState};
@@ -255,7 +255,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod intern;
 mod limits;
+mod lock;
 mod name;
 mod parse;
 mod place;
@@ -22,6 +23,7 @@
 };
 pub use digest::Digest;
 pub use limits::ConnectionLimits;
+pub use lock::lock;
 pub use name::{
     AcceptId, DomainName, InstanceId, NameError, OperatorName, PoolName, RegionName, RouteName,
     ServiceName, TeamName, VmId,
--- a/crates/call/src/lock.rs
+++ b/crates/model/src/lock.rs
@@ -3,6 +3,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Takes the lock of `mutex`.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/proof/src/history.rs
+++ b/crates/proof/src/history.rs
@@ -1,8 +1,9 @@
 //! What was recorded of a fleet.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
+use model::lock;
 use tokio::time::Instant;
 
 use crate::View;
@@ -228,6 +229,6 @@
 
     /// Gives access to the history.
     pub fn history(&self) -> MutexGuard<'_, History> {
-        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.history)
     }
 }
--- a/crates/spread/src/children.rs
+++ b/crates/spread/src/children.rs
@@ -1,11 +1,11 @@
 //! The daemons that follow this one.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use member::LinkId;
-use model::{DomainName, Version, VmId};
+use model::{DomainName, Version, VmId, lock};
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
@@ -122,6 +122,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Child>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
--- a/crates/spread/src/flight.rs
+++ b/crates/spread/src/flight.rs
@@ -1,8 +1,9 @@
 //! Answers many callers by one question.
 
-use std::sync::{Mutex as StdMutex, PoisonError};
+use std::sync::Mutex as StdMutex;
 use std::time::Duration;
 
+use model::lock;
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep_until};
 
@@ -51,12 +52,12 @@
             asked,
             value: value.clone(),
         };
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer);
+        *lock(&self.last) = Some(answer);
         value
     }
 
     fn last(&self) -> Option<Answer<T>> {
-        let last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = lock(&self.last);
         last.clone()
     }
 }
--- a/crates/spread/src/floor.rs
+++ b/crates/spread/src/floor.rs
@@ -3,11 +3,11 @@
 //! See docs/DESIGN.md, "Version floor of a restarted VM".
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use model::{DomainName, Version};
+use model::{DomainName, Version, lock};
 use slog::{debug, info};
 use tokio::time::timeout;
 use tonic::Status;
@@ -35,31 +35,31 @@
 impl Floor {
     /// Returns the floor, if it is known.
     pub(crate) fn get(&self) -> Option<Version> {
-        *self.known.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.known)
     }
 
     /// Sets the floor if it is not known yet.
     pub(crate) fn set(&self, version: Version) {
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = lock(&self.known);
         known.get_or_insert(version);
     }
 
     /// Notes a version that was read from the store.
     pub(crate) fn stage(&self, version: Version) {
-        let mut staged = self.staged.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut staged = lock(&self.staged);
         *staged = version.max(*staged);
     }
 
     /// Returns the newest version that this daemon can promise to remember, and remembers it.
     pub(crate) fn hold(&self, in_force: Version) -> Version {
-        let staged = *self.staged.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let staged = *lock(&self.staged);
+        let mut held = lock(&self.held);
         *held = held.max(staged).max(in_force);
         *held
     }
 
     fn held(&self) -> Version {
-        *self.held.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.held)
     }
 }
 
--- a/crates/spread/src/hub.rs
+++ b/crates/spread/src/hub.rs
@@ -2,23 +2,23 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use ledger::Ledger;
 use member::LinkId;
-use model::VmId;
+use model::{VmId, lock};
 use slog::{Logger, info};
 use store::Store;
 use table::{ApplyError, Table};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use tonic::metadata::{Ascii, MetadataValue};
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 use tonic::{Request, Status};
 use wire::fleet::WholeState;
 use wire::fleet::fleet_client::FleetClient;
+use wire::{FleetKey, endpoint};
 
 use crate::Settings;
 use crate::children::Children;
@@ -194,7 +194,7 @@
     /// Returns the version in force, whole and compressed.
     fn whole(&self) -> Option<WholeState> {
         let version = self.table.snapshot().version;
-        let mut packed = self.packed.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut packed = lock(&self.packed);
         if let Some(whole) = packed
             .as_ref()
             .filter(|whole| whole.version == version.get())
@@ -275,11 +275,8 @@
     ///
     /// Fails if `address` is no address.
     pub(crate) fn client(&self, address: &str) -> Result<FleetClient<Channel>, Status> {
-        let endpoint = Endpoint::from_shared(format!("http://{address}"))
-            .map_err(|error| Status::invalid_argument(error.to_string()))?;
-        let channel = endpoint
+        let channel = endpoint(address)?
             .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
             .connect_lazy();
         Ok(FleetClient::new(channel)
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
@@ -288,16 +285,9 @@
 
     /// Returns a request that carries the fleet's key.
     pub(crate) fn request<T>(&self, message: T) -> Result<Request<T>, Status> {
-        let mut request = Request::new(message);
-        let bearer = format!("Bearer {}", self.settings.key.expose());
-        let value: MetadataValue<Ascii> = bearer.parse().map_err(|_| {
+        let key = FleetKey::new(self.settings.key.clone()).ok_or_else(|| {
             Status::invalid_argument("the fleet's key has bytes a header cannot carry")
         })?;
-        request.metadata_mut().insert("authorization", value);
-        Ok(request)
+        Ok(key.signed(message))
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -17,11 +17,12 @@
 use tokio::time::timeout;
 use tonic::transport::Server as GrpcServer;
 use tonic::transport::server::TcpIncoming;
+use wire::KeyCheck;
 use wire::fleet::DrainRequest;
 use wire::fleet::fleet_server::FleetServer;
 
 use crate::hub::{Hub, MAX_MESSAGE_BYTES};
-use crate::server::{KeyCheck, Server};
+use crate::server::Server;
 use crate::traffic::Traffic;
 use crate::{Counts, Lag, Settings, Summary, follow, repair};
 
@@ -89,9 +90,7 @@
         log: Logger,
     ) -> Result<Self, SpawnError> {
         let address = table.members().own().fleet;
-        let key = KeyCheck {
-            key: settings.key.clone(),
-        };
+        let key = KeyCheck::new(settings.key.clone());
         let traffic = Traffic::open()?;
         let hub = Hub::new(settings, address, table, ledger, store, traffic, log);
         let hub = Arc::new(hub);
--- a/crates/spread/src/server.rs
+++ b/crates/spread/src/server.rs
@@ -6,11 +6,9 @@
 use async_trait::async_trait;
 use futures_util::{Stream, StreamExt};
 use member::Buckets;
-use model::Secret;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::service::Interceptor;
 use tonic::{Request, Response, Status, Streaming};
 use wire::fleet::fleet_server::Fleet;
 use wire::fleet::{
@@ -25,25 +23,6 @@
 /// Messages that may wait for a slow child; what changes meanwhile coalesces.
 const DOWN_QUEUE: usize = 1;
 
-/// Refuses calls without the fleet's key.
-#[derive(Debug, Clone)]
-pub(crate) struct KeyCheck {
-    pub(crate) key: Secret,
-}
-
-impl Interceptor for KeyCheck {
-    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
-        let header = request.metadata().get("authorization");
-        let bearer = header.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
-        if bearer.is_some_and(|key| self.key.matches(key)) {
-            return Ok(request);
-        }
-        Err(Status::unauthenticated(
-            "this process has not the fleet's key; set `fleet.key` to the same on every daemon",
-        ))
-    }
-}
-
 /// The service that other daemons call.
 #[derive(Debug, Clone)]
 pub(crate) struct Server {
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -1,11 +1,11 @@
 //! A key-value service in memory, with the faults of a real one on demand.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use async_trait::async_trait;
-use model::Millis;
+use model::{Millis, lock};
 use serde::{Deserialize, Serialize};
 use store::{
     Changes, Entry, Error, Expect, LeaseId, MAX_PAGE_BYTES, MAX_VALUE_BYTES, Put, Revision, Store,
@@ -206,7 +206,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
 
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use axum::Router;
 use axum::body::Bytes;
@@ -16,7 +16,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use model::{Incarnation, Millis, ServiceName, UnixMillis, VmId};
+use model::{Incarnation, Millis, ServiceName, UnixMillis, VmId, lock};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
@@ -129,7 +129,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Run>> {
-        self.0.runs.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0.runs)
     }
 
     fn start(&self, run: Run) -> usize {
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -1,13 +1,13 @@
 //! The version in force and its snapshot.
 
 use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
 use member::{LinkId, Members, Record};
 use model::{
-    Change, ConnectionLimits, Digest, Key, Problem, Problems, State, StateError, Version, validate,
-    validate_changed,
+    Change, ConnectionLimits, Digest, Key, Problem, Problems, State, StateError, Version, lock,
+    validate, validate_changed,
 };
 use tokio::sync::watch;
 
@@ -299,7 +299,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,4 +1,8 @@
-//! gRPC messages and services, generated from `proto/` and committed.
+//! gRPC messages and services, generated from `proto/` and committed, and what calls between daemons share.
+
+mod call;
+
+pub use call::{FleetKey, KeyCheck, endpoint};
 
 /// The platform's key-value service.
 #[expect(missing_docs, reason = "generated code")]
--- a/src/throttle.rs
+++ b/src/throttle.rs
@@ -1,9 +1,10 @@
 //! Bounds the volume of the log: so many lines a second for each kind of line.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use model::lock;
 use slog::{Drain, Level, OwnedKVList, Record, b, record};
 
 /// Lines of one kind in a window. At the usual load of a VM, a line for each refused call fits.
@@ -91,7 +92,7 @@
         // A line whose message is not fixed counts by its place in the code.
         let kind = line.msg().as_str().unwrap_or_else(|| line.file());
         let verdict = {
-            let mut meter = self.meter.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut meter = lock(&self.meter);
             meter.pass(kind, Instant::now())
         };
         for (kind, count) in verdict.left_out {
