Tie revisions and leases to the era of the store

Callers saw requests refused as an older version says, although a newer version had been acknowledged longer ago than allowed.

Cause: the store may come back from a copy and give out revisions and lease ids again. A daemon went on from the revision that it had seen before. If the store passed that number before the daemon asked again, the watch was accepted, and what had been written at or below the number was never read: by a relay, and by every daemon that polls it. A lease of before was renewed although its number now belonged to another client, and the daemon's record stayed away.

Ruled out: a watch that is refused with 410 (read anew, no loss); the installer, which puts no older version in force whatever the store holds.

Change: Store-Era becomes part of each Revision and LeaseId; a revision of a later era is later, whatever its number. A watch or a write that continues from an earlier era is answered as compacted or restored. Relays answer a poll from an earlier era with all records, and one from a later era says that they do not follow, so that the daemon turns to the store. A daemon whose relay names a later era takes a new lease at once. New metric sardinestall_store_era.

--- a/crates/bench/src/spread/baseline.rs
+++ b/crates/bench/src/spread/baseline.rs
@@ -94,7 +94,7 @@
 
 /// Reads the whole configuration after each write of the head and reports each read.
 async fn run_client(store: GrpcStore, bytes: Arc<AtomicU64>, received: mpsc::Sender<()>) {
-    let mut after = Revision(0);
+    let mut after = Revision::ZERO;
     loop {
         let Ok(changes) = store.watch(HEAD_KEY, after, MAX_WATCH_WAIT).await else {
             continue;
--- a/crates/daemon/src/counted.rs
+++ b/crates/daemon/src/counted.rs
@@ -5,7 +5,8 @@
 
 use async_trait::async_trait;
 use prometheus::{IntCounterVec, Opts, Registry};
-use store::{Changes, Entry, Error, Expect, LeaseId, Put, Revision, Scan, Store};
+use store::{Changes, Entry, Era, Error, Expect, LeaseId, Put, Revision, Scan, Store};
+use tokio::sync::watch;
 
 /// Forwards calls to another store and counts them by operation and result.
 #[derive(Debug)]
@@ -48,6 +49,10 @@
 
 #[async_trait]
 impl Store for CountedStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.store.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let result = self.store.get(key).await;
         self.count("get", result)
--- a/crates/follow/src/feed.rs
+++ b/crates/follow/src/feed.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use store::{Changes, Entry, Revision};
+use store::{Changes, Entry, Revision, Scan};
 
 /// Maximum number of deleted keys kept. A follower that is further behind rescans every key.
 const MAX_DELETED_KEYS: usize = 2_000;
@@ -10,8 +10,8 @@
 /// Current entries under one prefix, and recently deleted keys.
 #[derive(Debug)]
 pub struct Feed {
-    /// Oldest revision since which all deletions are known.
-    oldest: Revision,
+    /// Oldest revision since which all deletions are known; `None` before the first scan.
+    oldest: Option<Revision>,
     /// Latest revision that has been read.
     revision: Revision,
     entries: BTreeMap<String, Entry>,
@@ -22,8 +22,8 @@
 impl Default for Feed {
     fn default() -> Self {
         Self {
-            oldest: Revision(u64::MAX),
-            revision: Revision(0),
+            oldest: None,
+            revision: Revision::ZERO,
             entries: BTreeMap::new(),
             deleted: BTreeMap::new(),
         }
@@ -38,7 +38,7 @@
             .map(|entry| (entry.key.clone(), entry.clone()));
         self.entries = entries.collect();
         self.deleted.clear();
-        self.oldest = revision;
+        self.oldest = Some(revision);
         self.revision = revision;
     }
 
@@ -54,14 +54,22 @@
         }
         self.revision = self.revision.max(changes.revision);
         if self.deleted.len() > MAX_DELETED_KEYS {
-            self.oldest = self.revision;
+            self.oldest = Some(self.revision);
             self.deleted.clear();
         }
     }
 
-    /// Returns the changes after `after`, or `None` if deletions since then are no longer known.
+    /// Returns all current entries, or `None` before the first scan.
+    pub fn snapshot(&self) -> Option<Scan> {
+        self.oldest.map(|_| Scan {
+            entries: self.entries.values().cloned().collect(),
+            revision: self.revision,
+        })
+    }
+
+    /// Returns the changes after `after`, or `None` if deletions since then are not known.
     pub fn since(&self, after: Revision) -> Option<Changes> {
-        if after < self.oldest {
+        if self.oldest.is_none_or(|oldest| after < oldest) {
             return None;
         }
         let entries = self.entries.values();
--- a/crates/follow/src/metrics.rs
+++ b/crates/follow/src/metrics.rs
@@ -17,6 +17,7 @@
     /// Known daemons, by the state of their upstream.
     states: IntGaugeVec,
     connected: IntGauge,
+    era: IntGauge,
     shared: Arc<Shared>,
 }
 
@@ -65,12 +66,24 @@
                 "sardinestall_connected",
                 "Whether the store answers: 1 or 0.",
             )?,
+            era: gauge(
+                "sardinestall_store_era",
+                "Number of times that the store came back from a copy, as far as this daemon knows.",
+            )?,
             shared,
         })
     }
 
-    fn gauges(&self) -> [&IntGauge; 4] {
-        [&self.version, &self.age, &self.members, &self.connected]
+    fn gauges(&self) -> [&IntGauge; 5] {
+        let Self {
+            version,
+            age,
+            members,
+            connected,
+            era,
+            ..
+        } = self;
+        [version, age, members, connected, era]
     }
 }
 
@@ -94,6 +107,7 @@
         self.members.set(members.live() as i64);
         self.connected
             .set(i64::from(*self.shared.store_up.borrow()));
+        self.era.set(self.shared.store.era().borrow().0 as i64);
         let gauges = self.gauges().into_iter().flat_map(Collector::collect);
         gauges.chain(self.states.collect()).collect()
     }
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -9,13 +9,13 @@
 use prometheus::Registry;
 use rand::RngExt;
 use slog::{Logger, info, warn};
-use store::{Error, Put, Store};
+use store::{Era, Error, Put, Revision, Store};
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, sleep_until};
-use wire::FleetKey;
+use wire::{FleetKey, fleet};
 
 use crate::config::Installer;
 use crate::members::{self, Directory};
@@ -178,6 +178,10 @@
     let mut publisher = Publisher::new(ttl, Instant::now());
     let announcement_deadline = Instant::now() + ANNOUNCEMENT_WAIT;
     let mut membership = shared.directory.table().members().subscribe();
+    let mut reads = shared
+        .exchange
+        .topic_state(fleet::Topic::Members)
+        .subscribe();
     let mut leaving = false;
     loop {
         membership.borrow_and_update();
@@ -197,6 +201,10 @@
                 () = sleep_until(until) => {}
                 changed = membership.changed() => if changed.is_err() { break },
                 () = shared.directory.local_deleted.notified() => publisher.lease_lost(),
+                era = restored(&mut reads, publisher.era()) => {
+                    info!(shared.log, "store came back from a copy; the lease is void"; "era" => %era);
+                    publisher.lease_lost();
+                }
                 () = shared.leaving.notified() => leaving = true,
             }
             continue;
@@ -205,7 +213,7 @@
         shared.set_store_up(result.as_ref().copied());
         match result {
             Ok(()) => {}
-            Err(Error::LeaseEnded) => publisher.lease_lost(),
+            Err(Error::LeaseEnded | Error::Restored) => publisher.lease_lost(),
             Err(error) => {
                 if matches!(error, Error::Unknown(_)) {
                     publisher.mark_key_unknown();
@@ -216,6 +224,16 @@
     }
 }
 
+/// Waits for a read of the store in a later era than that of the lease, and returns the era of the read.
+async fn restored(reads: &mut watch::Receiver<Revision>, lease: Option<Era>) -> Era {
+    let later = |read: &Revision| lease.is_some_and(|lease| read.era > lease);
+    let era = reads.wait_for(later).await.map(|read| read.era);
+    match era {
+        Ok(era) => era,
+        Err(_) => std::future::pending().await,
+    }
+}
+
 async fn execute_step(
     shared: &Shared,
     publisher: &mut Publisher,
@@ -242,7 +260,7 @@
         Step::Renew(lease) => {
             let alive = shared.store.renew(lease).await?;
             if !alive {
-                info!(shared.log, "own lease lapsed"; "lease" => lease.0);
+                info!(shared.log, "own lease lapsed"; "lease" => %lease);
             }
             publisher.renewed(alive, requested_at);
         }
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -8,7 +8,7 @@
 use model::{UnixMillis, Version};
 use rand::seq::IndexedRandom;
 use slog::{Logger, debug};
-use store::Revision;
+use store::{Era, Revision};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -107,7 +107,7 @@
     Entry {
         key: entry.key,
         value: entry.value,
-        revision: entry.revision.0,
+        revision: entry.revision.number,
     }
 }
 
@@ -134,24 +134,35 @@
     /// Returns the changes since the revision and version stated in `request`.
     fn changes_since(&self, request: &WatchRequest) -> WatchReply {
         let topic_state = self.topic_state(request.topic());
-        let after = Revision(request.after);
+        let after = Revision {
+            era: Era(request.era),
+            number: request.after,
+        };
+        let read = topic_state.revision();
         let mut reply = WatchReply {
-            follows: topic_state.follows_store(),
-            revision: topic_state.revision().max(after).0,
+            // The caller may know that the store was restored before this daemon does.
+            follows: topic_state.follows_store() && read.era >= after.era,
             ..WatchReply::default()
         };
+        let mut revision = read.max(after);
         match request.topic() {
             Topic::Config => reply.config = self.installer.newer(Version::new(request.version)),
-            Topic::Members => match topic_state.since(after) {
-                Some(changes) => {
+            Topic::Members => {
+                if let Some(changes) = topic_state.since(after) {
                     reply.written = changes.entries.into_iter().map(to_wire_entry).collect();
                     reply.deleted = changes.deleted;
-                    reply.revision = changes.revision.0;
+                    revision = changes.revision;
+                } else if let Some(all) = topic_state.snapshot().filter(|_| reply.follows) {
+                    reply.written = all.entries.into_iter().map(to_wire_entry).collect();
+                    reply.snapshot = true;
+                    revision = all.revision;
+                } else {
+                    reply.follows = false;
                 }
-                // Deletions are no longer known; the caller must rescan the store.
-                None => reply.follows = false,
-            },
+            }
         }
+        reply.revision = revision.number;
+        reply.era = revision.era.0;
         reply
     }
 
--- a/crates/follow/src/publisher.rs
+++ b/crates/follow/src/publisher.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use store::{Expect, LeaseId, Revision};
+use store::{Era, Expect, LeaseId, Revision};
 use tokio::time::Instant;
 
 /// Renewals per lease lifetime: two lost renewals do not end the lease.
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Lease {
     id: LeaseId,
-    renew_at: Instant,
+    renewed_at: Instant,
 }
 
 /// Keeps one record in the store under a lease.
@@ -65,6 +65,16 @@
         }
     }
 
+    /// Returns the era of the lease, if there is one.
+    pub fn era(&self) -> Option<Era> {
+        self.lease.map(|lease| lease.id.era)
+    }
+
+    /// Returns the time of the next renewal of `lease`.
+    fn renew_at(&self, lease: Lease) -> Instant {
+        lease.renewed_at + self.ttl / RENEWALS_PER_TTL
+    }
+
     /// Returns the next call for the record with counter `wanted`.
     pub fn next(&self, wanted: u64, now: Instant) -> Step {
         if now < self.retry_at {
@@ -82,17 +92,18 @@
                 expect: self.revision.map_or(Expect::Absent, Expect::At),
             };
         }
-        if now >= lease.renew_at {
+        let renew_at = self.renew_at(lease);
+        if now >= renew_at {
             return Step::Renew(lease.id);
         }
-        Step::Wait(lease.renew_at)
+        Step::Wait(renew_at)
     }
 
     /// Handles the grant of a lease that was requested at `requested_at`.
     pub fn granted(&mut self, id: LeaseId, requested_at: Instant) {
         self.lease = Some(Lease {
             id,
-            renew_at: requested_at + self.ttl / RENEWALS_PER_TTL,
+            renewed_at: requested_at,
         });
         self.written = None;
     }
@@ -100,7 +111,7 @@
     /// Handles the response to a renewal that was requested at `requested_at`.
     pub fn renewed(&mut self, alive: bool, requested_at: Instant) {
         match (alive, &mut self.lease) {
-            (true, Some(lease)) => lease.renew_at = requested_at + self.ttl / RENEWALS_PER_TTL,
+            (true, Some(lease)) => lease.renewed_at = requested_at,
             _ => self.lease_lost(),
         }
     }
--- a/crates/follow/src/relay_client.rs
+++ b/crates/follow/src/relay_client.rs
@@ -116,7 +116,10 @@
 
 /// Returns whether `reply` contains changes.
 pub(crate) fn has_changes(reply: &WatchReply) -> bool {
-    reply.config.is_some() || !reply.written.is_empty() || !reply.deleted.is_empty()
+    reply.snapshot
+        || reply.config.is_some()
+        || !reply.written.is_empty()
+        || !reply.deleted.is_empty()
 }
 
 async fn poll(
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -6,7 +6,7 @@
 
 use member::Record;
 use slog::info;
-use store::{Changes, Entry, Error, Revision, Scan};
+use store::{Changes, Entry, Era, Error, Revision, Scan};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 use wire::fleet;
@@ -96,7 +96,8 @@
 ) {
     let request = WatchRequest {
         topic: topic.wire().into(),
-        after: after.0,
+        after: after.number,
+        era: after.era.0,
         version: shared.installer.version().get(),
         wait_ms: MAX_HOLD.as_millis() as u32,
     };
@@ -105,27 +106,37 @@
         return;
     };
     let changed = has_changes(&reply);
-    let revision = Revision(reply.revision);
     if let Some(config) = &reply.config {
         shared.installer.offer_packed(config, "relay");
     }
-    let changes = changes(reply);
-    apply_changes(shared, topic, &changes);
+    let revision = apply_reply(shared, topic, reply);
     schedule.relayed(revision, changed, Instant::now());
 }
 
-/// Converts the response of a relay to changes.
-fn changes(reply: WatchReply) -> Changes {
+/// Applies the entries in the response of a relay; returns the response's revision.
+fn apply_reply(shared: &Shared, topic: &Topic, reply: WatchReply) -> Revision {
+    let in_era = |number| Revision {
+        era: Era(reply.era),
+        number,
+    };
+    let revision = in_era(reply.revision);
     let entries = reply.written.into_iter().map(|entry| Entry {
         key: entry.key,
         value: entry.value,
-        revision: Revision(entry.revision),
+        revision: in_era(entry.revision),
     });
-    Changes {
-        entries: entries.collect(),
-        deleted: reply.deleted,
-        revision: Revision(reply.revision),
+    let entries = entries.collect();
+    if reply.snapshot {
+        apply_scan(shared, topic, &Scan { entries, revision });
+    } else {
+        let changes = Changes {
+            entries,
+            deleted: reply.deleted,
+            revision,
+        };
+        apply_changes(shared, topic, &changes);
     }
+    revision
 }
 
 async fn read_store(shared: &Shared, topic: &Topic, read: Read, schedule: &mut ReadSchedule) {
@@ -147,7 +158,7 @@
     };
     state.set_follows_store(false);
     if !schedule.is_failing() || error == Error::Compacted {
-        info!(shared.log, "read of the store failed"; "prefix" => topic.prefix(), "error" => %error);
+        info!(shared.log, "read of the store failed"; "prefix" => topic.prefix(), "read" => ?read, "error" => %error);
     }
     schedule.failed(&error, rand::random(), Instant::now());
 }
--- a/crates/follow/src/topic_state.rs
+++ b/crates/follow/src/topic_state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use model::lock;
-use store::{Changes, Entry, Revision};
+use store::{Changes, Entry, Revision, Scan};
 use tokio::sync::watch;
 
 use crate::feed::Feed;
@@ -23,7 +23,7 @@
     fn default() -> Self {
         Self {
             follows_store: AtomicBool::new(false),
-            revision: watch::Sender::new(Revision(0)),
+            revision: watch::Sender::new(Revision::ZERO),
             feed: Mutex::default(),
         }
     }
@@ -63,7 +63,12 @@
         *self.revision.borrow()
     }
 
-    /// Returns the changes after `after`, or `None` if deletions since then are no longer known.
+    /// Returns all current entries, or `None` before the first scan.
+    pub(crate) fn snapshot(&self) -> Option<Scan> {
+        self.lock().snapshot()
+    }
+
+    /// Returns the changes after `after`, or `None` if deletions since then are not known.
     pub(crate) fn since(&self, after: Revision) -> Option<Changes> {
         self.lock().since(after)
     }
--- a/crates/follow/tests/decisions.rs
+++ b/crates/follow/tests/decisions.rs
@@ -24,20 +24,17 @@
     let now = Instant::now();
     let mut schedule = ReadSchedule::new(millis(800), CatchUp::History, now);
     assert_eq!(schedule.next_read(), (now, Read::Scan));
-    schedule.scanned(Revision(10), true, now);
+    schedule.scanned(Revision::new(10), true, now);
     let (due, read) = schedule.next_read();
     assert_eq!(due, now);
     assert!(matches!(
         read,
-        Read::Watch {
-            after: Revision(10),
-            ..
-        }
+        Read::Watch { after, .. } if after == Revision::new(10)
     ));
-    schedule.watched(Revision(11), true, now);
+    schedule.watched(Revision::new(11), true, now);
     assert_eq!(schedule.next_read().0, now + millis(800));
     // After a watch without changes, the next one starts immediately.
-    schedule.watched(Revision(11), false, now);
+    schedule.watched(Revision::new(11), false, now);
     assert_eq!(schedule.next_read().0, now);
 }
 
@@ -45,26 +42,23 @@
 fn frequently_changed_large_values_are_refreshed_without_a_watch() {
     let now = Instant::now();
     let mut schedule = ReadSchedule::new(millis(800), CatchUp::Values, now);
-    schedule.scanned(Revision(10), true, now);
-    schedule.watched(Revision(11), true, now);
+    schedule.scanned(Revision::new(10), true, now);
+    schedule.watched(Revision::new(11), true, now);
     // A watch would return every intermediate value of the storm.
     for revision in 12..15 {
-        let after = Revision(revision - 1);
+        let after = Revision::new(revision - 1);
         assert_eq!(
             schedule.next_read(),
             (now + millis(800), Read::Refresh { after })
         );
-        schedule.scanned(Revision(revision), true, now);
+        schedule.scanned(Revision::new(revision), true, now);
     }
-    schedule.scanned(Revision(15), false, now);
+    schedule.scanned(Revision::new(15), false, now);
     let (due, read) = schedule.next_read();
     assert_eq!(due, now);
     assert!(matches!(
         read,
-        Read::Watch {
-            after: Revision(15),
-            ..
-        }
+        Read::Watch { after, .. } if after == Revision::new(15)
     ));
 }
 
@@ -72,19 +66,16 @@
 fn relay_response_replaces_a_failed_refresh() {
     let now = Instant::now();
     let mut schedule = ReadSchedule::new(millis(800), CatchUp::Values, now);
-    schedule.scanned(Revision(10), true, now);
-    schedule.watched(Revision(11), true, now);
+    schedule.scanned(Revision::new(10), true, now);
+    schedule.watched(Revision::new(11), true, now);
     // The transfer of a large value over a narrow link timed out.
     schedule.failed(&unavailable(), 0.0, now);
-    let after = Revision(11);
+    let after = Revision::new(11);
     assert_eq!(schedule.next_read().1, Read::Refresh { after });
-    schedule.relayed(Revision(15), true, now);
+    schedule.relayed(Revision::new(15), true, now);
     assert!(matches!(
         schedule.next_read().1,
-        Read::Watch {
-            after: Revision(15),
-            ..
-        }
+        Read::Watch { after, .. } if after == Revision::new(15)
     ));
 }
 
@@ -92,7 +83,7 @@
 fn compacted_history_leads_to_a_rescan() {
     let now = Instant::now();
     let mut schedule = ReadSchedule::new(millis(800), CatchUp::History, now);
-    schedule.scanned(Revision(10), true, now);
+    schedule.scanned(Revision::new(10), true, now);
     schedule.failed(&unavailable(), 0.0, now);
     assert!(matches!(schedule.next_read().1, Read::Watch { .. }));
     schedule.failed(&Error::Compacted, 0.0, now);
@@ -119,7 +110,7 @@
 fn watch_after_a_failure_is_short() {
     let now = Instant::now();
     let mut schedule = ReadSchedule::new(millis(800), CatchUp::History, now);
-    schedule.scanned(Revision(1), true, now);
+    schedule.scanned(Revision::new(1), true, now);
     schedule.failed(&unavailable(), 0.0, now);
     let Read::Watch { wait, .. } = schedule.next_read().1 else {
         panic!("expected a watch");
@@ -131,13 +122,13 @@
 fn published(now: Instant) -> Publisher {
     let mut publisher = Publisher::new(TTL, now);
     assert_eq!(publisher.next(1, now), Step::Grant);
-    publisher.granted(LeaseId(7), now);
+    publisher.granted(LeaseId::new(7), now);
     let write = Step::Write {
-        lease: LeaseId(7),
+        lease: LeaseId::new(7),
         expect: Expect::Absent,
     };
     assert_eq!(publisher.next(1, now), write);
-    publisher.written(1, Revision(5));
+    publisher.written(1, Revision::new(5));
     publisher
 }
 
@@ -147,7 +138,7 @@
     let mut publisher = published(now);
     assert_eq!(publisher.next(1, now), Step::Wait(now + TTL / 3));
     let later = now + TTL / 3;
-    assert_eq!(publisher.next(1, later), Step::Renew(LeaseId(7)));
+    assert_eq!(publisher.next(1, later), Step::Renew(LeaseId::new(7)));
     publisher.renewed(true, later);
     assert_eq!(publisher.next(1, later), Step::Wait(later + TTL / 3));
 }
@@ -157,8 +148,8 @@
     let now = Instant::now();
     let publisher = published(now);
     let write = Step::Write {
-        lease: LeaseId(7),
-        expect: Expect::At(Revision(5)),
+        lease: LeaseId::new(7),
+        expect: Expect::At(Revision::new(5)),
     };
     assert_eq!(publisher.next(2, now), write);
 }
@@ -169,10 +160,10 @@
     let mut publisher = published(now);
     publisher.mark_key_unknown();
     assert_eq!(publisher.next(2, now), Step::Read);
-    publisher.key_read(Some(Revision(9)));
+    publisher.key_read(Some(Revision::new(9)));
     let write = Step::Write {
-        lease: LeaseId(7),
-        expect: Expect::At(Revision(9)),
+        lease: LeaseId::new(7),
+        expect: Expect::At(Revision::new(9)),
     };
     assert_eq!(publisher.next(2, now), write);
 }
@@ -183,11 +174,11 @@
     let mut publisher = published(now);
     publisher.renewed(false, now);
     assert_eq!(publisher.next(1, now), Step::Grant);
-    publisher.granted(LeaseId(8), now);
+    publisher.granted(LeaseId::new(8), now);
     assert_eq!(publisher.next(1, now), Step::Read);
     publisher.key_read(None);
     let write = Step::Write {
-        lease: LeaseId(8),
+        lease: LeaseId::new(8),
         expect: Expect::Absent,
     };
     assert_eq!(publisher.next(1, now), write);
--- a/crates/follow/tests/relays.rs
+++ b/crates/follow/tests/relays.rs
@@ -7,7 +7,7 @@
 use follow::relays::{RelaySelector, Source, relays};
 use member::{Record, UpstreamState};
 use model::{Incarnation, Rate};
-use store::{Changes, Entry, Revision};
+use store::{Changes, Entry, Era, Revision, Scan};
 use tokio::time::Instant;
 
 fn record(vm: &str, domain: &str, link: u64) -> Record {
@@ -139,7 +139,7 @@
     Entry {
         key: key.into(),
         value: vec![revision as u8],
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -147,7 +147,7 @@
     Changes {
         entries: entries.to_vec(),
         deleted: deleted.iter().map(|key| (*key).into()).collect(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -155,36 +155,61 @@
 fn feed_returns_the_changes_after_a_revision() {
     let mut feed = Feed::default();
     assert_eq!(
-        feed.since(Revision(5)),
+        feed.since(Revision::new(5)),
         None,
         "no scan has been applied yet"
     );
-    feed.apply_scan(&[entry("a", 3), entry("b", 4)], Revision(10));
+    feed.apply_scan(&[entry("a", 3), entry("b", 4)], Revision::new(10));
     feed.apply_changes(&changes(&[entry("a", 11)], &[], 11));
     feed.apply_changes(&changes(&[entry("c", 13)], &["b"], 14));
     assert_eq!(
-        feed.since(Revision(10)),
+        feed.since(Revision::new(10)),
         Some(changes(&[entry("a", 11), entry("c", 13)], &["b"], 14))
     );
-    assert_eq!(feed.since(Revision(14)), Some(changes(&[], &[], 14)));
+    assert_eq!(feed.since(Revision::new(14)), Some(changes(&[], &[], 14)));
     // Deletions before the scan are not known.
-    assert_eq!(feed.since(Revision(9)), None);
+    assert_eq!(feed.since(Revision::new(9)), None);
     // A caller may have received a later revision from another relay.
-    assert_eq!(feed.since(Revision(20)), Some(changes(&[], &[], 20)));
+    assert_eq!(feed.since(Revision::new(20)), Some(changes(&[], &[], 20)));
 }
 
 #[test]
 fn feed_drops_the_deletion_of_a_recreated_key() {
     let mut feed = Feed::default();
-    feed.apply_scan(&[entry("a", 3)], Revision(10));
+    feed.apply_scan(&[entry("a", 3)], Revision::new(10));
     feed.apply_changes(&changes(&[], &["a"], 11));
     feed.apply_changes(&changes(&[entry("a", 12)], &[], 12));
     assert_eq!(
-        feed.since(Revision(10)),
+        feed.since(Revision::new(10)),
         Some(changes(&[entry("a", 12)], &[], 12))
     );
 }
 
+/// Returns `entry` as it is in the era after the store came back from a copy.
+fn restored(entry: Entry) -> Entry {
+    let revision = Revision {
+        era: Era(1),
+        ..entry.revision
+    };
+    Entry { revision, ..entry }
+}
+
+#[test]
+fn feed_does_not_hide_entries_at_revisions_given_out_again() {
+    let mut feed = Feed::default();
+    feed.apply_scan(&[entry("a", 3), entry("b", 9)], Revision::new(10));
+    // The store came back at revision 4, and the records were written again.
+    let entries = [restored(entry("a", 3)), restored(entry("c", 5))];
+    let revision = restored(entry("c", 5)).revision;
+    feed.apply_scan(&entries, revision);
+    assert!(revision > Revision::new(10));
+    // A daemon that follows since before the restore lacks what lies under the revision that it has.
+    assert_eq!(feed.since(Revision::new(10)), None);
+    let entries = entries.to_vec();
+    assert_eq!(feed.snapshot(), Some(Scan { entries, revision }));
+    assert_eq!(feed.since(revision).expect("known").entries, []);
+}
+
 /// A configuration of `routes` routes, of which `changed` has another timeout.
 fn config(routes: usize, changed: usize) -> Vec<u8> {
     let route = |index: usize| {
--- a/crates/spread/src/child_link.rs
+++ b/crates/spread/src/child_link.rs
@@ -86,7 +86,7 @@
             child_digests: Some(buckets_from_wire(hello.digests)),
             sent: hub.table.members().last(),
             path: Vec::new(),
-            relays_revision: store::Revision(0),
+            relays_revision: store::Revision::ZERO,
             transfer: None,
         };
         if !link.mesh
--- a/crates/spread/src/mesh.rs
+++ b/crates/spread/src/mesh.rs
@@ -52,7 +52,7 @@
 /// A relay opens the links to relays with lower addresses and accepts those from higher ones.
 pub(crate) async fn run(hub: &Arc<Hub>) {
     let mut mesh = Mesh::default();
-    let mut after = Revision(0);
+    let mut after = Revision::ZERO;
     // Bounds each watch, so that lost domains are also detected while the list of relays is unchanged.
     let timeout = hub.settings.grace.duration() * DOMAIN_GRACE_FACTOR;
     loop {
--- a/crates/spread/src/relay.rs
+++ b/crates/spread/src/relay.rs
@@ -153,9 +153,9 @@
     let mut relays = hub.relays.subscribe();
     // A version is released once another relay holds it, so the relays must be known first.
     let _ = relays
-        .wait_for(|relays| relays.revision > Revision(0))
+        .wait_for(|relays| relays.revision > Revision::ZERO)
         .await;
-    let mut after = Revision(0);
+    let mut after = Revision::ZERO;
     loop {
         if let Err(error) = catch_up(hub).await {
             warn!(hub.log, "failed to apply the head"; "error" => %error);
--- a/crates/spread/src/relays.rs
+++ b/crates/spread/src/relays.rs
@@ -27,7 +27,7 @@
 impl Default for Relays {
     fn default() -> Self {
         Self {
-            revision: Revision(0),
+            revision: Revision::ZERO,
             list: Vec::new(),
         }
     }
@@ -74,7 +74,7 @@
             })
         });
         Self {
-            revision: Revision(relays.revision),
+            revision: Revision::new(relays.revision),
             list: list.collect(),
         }
     }
@@ -85,7 +85,7 @@
             address: relay.address.clone(),
         });
         fleet::Relays {
-            revision: self.revision.0,
+            revision: self.revision.number,
             relays: relays.collect(),
         }
     }
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -190,7 +190,7 @@
         let put = {
             let mut inner = self.lock();
             inner.expire_leases();
-            inner.write(key, bytes, expect, lease.map_or(0, |lease| lease.0))
+            inner.write(key, bytes, expect, lease.map_or(0, |lease| lease.number))
         };
         self.notify();
         self.respond(put)
@@ -268,7 +268,7 @@
         let matches = match expect {
             Expect::Any => true,
             Expect::Absent => current.is_none(),
-            Expect::At(revision) => current == Some(revision.0),
+            Expect::At(revision) => current == Some(revision.number),
         };
         let lease_valid = lease == 0 || self.leases.contains_key(&lease);
         if !matches || !lease_valid {
@@ -276,7 +276,7 @@
         }
         let Some(bytes) = bytes else {
             self.remove(key);
-            return Put::Done(Revision(self.revision));
+            return Put::Done(Revision::new(self.revision));
         };
         self.revision += 1;
         let value = Value {
@@ -285,22 +285,22 @@
             lease,
         };
         self.values.insert(key.into(), value);
-        Put::Done(Revision(self.revision))
+        Put::Done(Revision::new(self.revision))
     }
 
     /// Returns the changes to keys with `prefix` after the revision `after`.
     fn changes(&self, prefix: &str, after: Revision) -> Changes {
         let newer = self
             .with_prefix(prefix)
-            .filter(|(_, value)| value.revision > after.0);
+            .filter(|(_, value)| value.revision > after.number);
         let deleted = self
             .deletions
             .iter()
-            .filter(|(revision, key)| *revision > after.0 && key.starts_with(prefix));
+            .filter(|(revision, key)| *revision > after.number && key.starts_with(prefix));
         Changes {
             entries: newer.map(|(key, value)| entry(key, value)).collect(),
             deleted: deleted.map(|(_, key)| key.clone()).collect(),
-            revision: Revision(self.revision),
+            revision: Revision::new(self.revision),
         }
     }
 
@@ -390,14 +390,14 @@
             inner.leases.insert(id, Lease { ttl, expires });
             id
         };
-        self.respond(LeaseId(id))
+        self.respond(LeaseId::new(id))
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<bool, Error> {
         self.begin_call(Call::Lease).await?;
         let mut inner = self.lock();
         inner.expire_leases();
-        let Some(lease) = inner.leases.get_mut(&lease.0) else {
+        let Some(lease) = inner.leases.get_mut(&lease.number) else {
             return Ok(false);
         };
         lease.expires = Instant::now() + lease.ttl;
@@ -406,7 +406,7 @@
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
         self.begin_call(Call::Lease).await?;
-        self.lock().end_lease(lease.0);
+        self.lock().end_lease(lease.number);
         self.notify();
         self.respond(())
     }
@@ -416,6 +416,6 @@
     Entry {
         key: key.into(),
         value: value.bytes.clone(),
-        revision: Revision(value.revision),
+        revision: Revision::new(value.revision),
     }
 }
--- a/crates/standin/src/kv_server.rs
+++ b/crates/standin/src/kv_server.rs
@@ -97,9 +97,9 @@
         let expect = match request.expect {
             None => Expect::Any,
             Some(0) => Expect::Absent,
-            Some(revision) => Expect::At(Revision(revision)),
+            Some(revision) => Expect::At(Revision::new(revision)),
         };
-        let lease = (request.lease != 0).then_some(LeaseId(request.lease));
+        let lease = (request.lease != 0).then_some(LeaseId::new(request.lease));
         let put = match request.value {
             Some(value) => self.kv.put(&request.key, value, expect, lease).await,
             None => self.kv.delete(&request.key, expect).await,
@@ -107,7 +107,7 @@
         let reply = match put.map_err(status)? {
             Put::Done(revision) => kv::PutReply {
                 done: true,
-                revision: revision.0,
+                revision: revision.number,
             },
             Put::Conflict => kv::PutReply::default(),
         };
@@ -120,7 +120,7 @@
     ) -> Result<Response<kv::WatchReply>, Status> {
         let request = request.into_inner();
         let wait = Duration::from_millis(request.wait_ms);
-        let after = Revision(request.after);
+        let after = Revision::new(request.after);
         let changes = self
             .kv
             .watch(&request.prefix, after, wait)
@@ -129,7 +129,7 @@
         Ok(Response::new(kv::WatchReply {
             entries: changes.entries.into_iter().map(to_wire).collect(),
             deleted: changes.deleted,
-            revision: changes.revision.0,
+            revision: changes.revision.number,
         }))
     }
 
@@ -139,14 +139,16 @@
     ) -> Result<Response<kv::GrantReply>, Status> {
         let ttl = Duration::from_millis(request.get_ref().ttl_ms);
         let lease = self.kv.grant(ttl).await.map_err(status)?;
-        Ok(Response::new(kv::GrantReply { lease: lease.0 }))
+        Ok(Response::new(kv::GrantReply {
+            lease: lease.number,
+        }))
     }
 
     async fn renew(
         &self,
         request: Request<kv::RenewRequest>,
     ) -> Result<Response<kv::RenewReply>, Status> {
-        let lease = LeaseId(request.get_ref().lease);
+        let lease = LeaseId::new(request.get_ref().lease);
         let alive = self.kv.renew(lease).await.map_err(status)?;
         Ok(Response::new(kv::RenewReply { alive }))
     }
@@ -155,7 +157,7 @@
         &self,
         request: Request<kv::RevokeRequest>,
     ) -> Result<Response<kv::RevokeReply>, Status> {
-        let lease = LeaseId(request.get_ref().lease);
+        let lease = LeaseId::new(request.get_ref().lease);
         self.kv.revoke(lease).await.map_err(status)?;
         Ok(Response::new(kv::RevokeReply {}))
     }
@@ -165,7 +167,7 @@
     kv::Entry {
         key: entry.key,
         value: entry.value,
-        revision: entry.revision.0,
+        revision: entry.revision.number,
     }
 }
 
@@ -174,7 +176,7 @@
     let message = error.to_string();
     match error {
         Error::Unavailable(_) => Status::failed_precondition(message),
-        Error::Unknown(_) => Status::unknown(message),
+        Error::Unknown(_) | Error::Restored => Status::unknown(message),
         Error::Limited => Status::resource_exhausted(message),
         Error::TooLarge(_) | Error::LeaseEnded | Error::Compacted => {
             Status::failed_precondition(message)
--- a/crates/standin/tests/kv.rs
+++ b/crates/standin/tests/kv.rs
@@ -68,5 +68,5 @@
     let changes = kv.watch("relay/", revision, wait).await.expect("watched");
     assert_eq!(changes.deleted, ["relay/a/0"]);
     assert_eq!(kv.renew(lease).await, Ok(false));
-    assert!(changes.revision > Revision(0));
+    assert!(changes.revision > Revision::ZERO);
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -15,6 +15,12 @@
     /// The history after the requested revision is no longer kept.
     #[error("the key-value service no longer keeps this history; read every key anew")]
     Compacted,
+    /// The service came back from a copy. The write may have taken effect, by the chance that its lease or
+    /// revision was given out again.
+    #[error(
+        "the key-value service came back from a copy; take a new lease and read every key anew"
+    )]
+    Restored,
     /// The lease of a write has ended; the write had no effect.
     #[error("the lease has ended; take a new one and write again")]
     LeaseEnded,
--- a/crates/store/src/grpc.rs
+++ b/crates/store/src/grpc.rs
@@ -94,7 +94,7 @@
             key: key.into(),
             value: Some(value),
             expect: expected(expect),
-            lease: lease.map_or(0, |lease| lease.0),
+            lease: lease.map_or(0, |lease| lease.number),
         })
         .await
     }
@@ -113,7 +113,7 @@
         let mut client = self.client.clone();
         let request = WatchRequest {
             prefix: prefix.into(),
-            after: after.0,
+            after: after.number,
             wait_ms: wait.as_millis() as u64,
         };
         let reply = call_with_timeout(CALL_TIMEOUT + wait, client.watch(request))
@@ -122,7 +122,7 @@
         Ok(Changes {
             entries: reply.entries.into_iter().map(entry).collect(),
             deleted: reply.deleted,
-            revision: Revision(reply.revision),
+            revision: Revision::new(reply.revision),
         })
     }
 
@@ -134,12 +134,14 @@
         let reply = call_with_timeout(CALL_TIMEOUT, client.grant(request))
             .await
             .map_err(write_error)?;
-        Ok(LeaseId(reply.lease))
+        Ok(LeaseId::new(reply.lease))
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<bool, Error> {
         let mut client = self.client.clone();
-        let request = RenewRequest { lease: lease.0 };
+        let request = RenewRequest {
+            lease: lease.number,
+        };
         let reply = call_with_timeout(CALL_TIMEOUT, client.renew(request))
             .await
             .map_err(write_error)?;
@@ -148,7 +150,9 @@
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
         let mut client = self.client.clone();
-        let request = RevokeRequest { lease: lease.0 };
+        let request = RevokeRequest {
+            lease: lease.number,
+        };
         call_with_timeout(CALL_TIMEOUT, client.revoke(request))
             .await
             .map_err(write_error)?;
@@ -171,13 +175,13 @@
     match expect {
         Expect::Any => None,
         Expect::Absent => Some(0),
-        Expect::At(revision) => Some(revision.0),
+        Expect::At(revision) => Some(revision.number),
     }
 }
 
 fn outcome(reply: &PutReply) -> Put {
     if reply.done {
-        Put::Done(Revision(reply.revision))
+        Put::Done(Revision::new(reply.revision))
     } else {
         Put::Conflict
     }
@@ -187,7 +191,7 @@
     Entry {
         key: entry.key,
         value: entry.value,
-        revision: Revision(entry.revision),
+        revision: Revision::new(entry.revision),
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,10 +8,11 @@
 mod error;
 mod grpc;
 
-use std::fmt::Debug;
+use std::fmt::{self, Debug};
 use std::time::Duration;
 
 use async_trait::async_trait;
+use tokio::sync::watch;
 
 pub use error::Error;
 pub use grpc::GrpcStore;
@@ -25,13 +26,70 @@
 /// Number of keys requested per page of a scan.
 const SCAN_PAGE_KEYS: u32 = 500;
 
-/// Revision of a key. Increases with every write to the service.
+/// Generation of the service's data. Rises each time the service comes back from a copy, without the writes
+/// and leases since the copy was made. Services that lose nothing remain in era 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Revision of a key. Increases with every write to the service. Any revision of a later era is later,
+/// because the service gives out the same numbers again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
+pub struct Revision {
+    /// Era of the service.
+    pub era: Era,
+    /// Number of the write.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Revision before the first write.
+    pub const ZERO: Self = Self::new(0);
 
-/// Id of a lease.
+    /// Returns revision `number` of a service that loses nothing.
+    pub const fn new(number: u64) -> Self {
+        Self {
+            era: Era(0),
+            number,
+        }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.number)
+    }
+}
+
+/// Id of a lease. Void in later eras, in which the service may grant the same number to another client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Era of the service.
+    pub era: Era,
+    /// Number of the lease.
+    pub number: u64,
+}
+
+impl LeaseId {
+    /// Returns lease `number` of a service that loses nothing.
+    pub const fn new(number: u64) -> Self {
+        Self {
+            era: Era(0),
+            number,
+        }
+    }
+}
+
+impl fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.number)
+    }
+}
 
 /// A key with its value and revision.
 #[derive(Debug, Clone, PartialEq)]
@@ -90,9 +148,17 @@
 ///
 /// A call fails with [`Error::Unavailable`] if it certainly had no effect and with
 /// [`Error::Limited`] if it exceeded the service's rate limit. A write fails with
-/// [`Error::Unknown`] if it may have taken effect.
+/// [`Error::Unknown`] if it may have taken effect, and with [`Error::Restored`] if its lease or
+/// precondition is of an earlier era. Reads after a revision of an earlier era fail with
+/// [`Error::Compacted`].
 #[async_trait]
 pub trait Store: Debug + Send + Sync {
+    /// Returns a receiver of the latest era that any response named. The default implementation is for
+    /// services that lose nothing.
+    fn era(&self) -> watch::Receiver<Era> {
+        watch::Sender::default().subscribe()
+    }
+
     /// Reads one key.
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error>;
 
@@ -118,7 +184,7 @@
             entries.extend(page);
         }
         let newest = entries.iter().map(|entry| entry.revision).max();
-        let revision = newest.unwrap_or(Revision(0));
+        let revision = newest.unwrap_or(Revision::ZERO);
         Ok(Scan { entries, revision })
     }
 
@@ -140,9 +206,9 @@
     /// Grants a lease that expires after `ttl` unless renewed.
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, Error>;
 
-    /// Renews a lease; returns whether it was still alive.
+    /// Renews a lease; returns whether it was still alive in its era.
     async fn renew(&self, lease: LeaseId) -> Result<bool, Error>;
 
-    /// Ends a lease and deletes its keys.
+    /// Ends a lease and deletes its keys. A lease of an earlier era has already ended.
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error>;
 }
