Drain an upstream that states in its responses that it leaves

An upstream that said so got calls as before, until it announced it.

Cause: nothing read Server-Leaving; only announcements and deregistrations drained an upstream.

Ruled out: a drain that is undone by a later announcement as ready; the drain of an incarnation lasts, and the test announces on.

Change: the gate drains the incarnation whose response says that it leaves, which its record tells the other daemons. The statement travels with the notice of the limit, so that a daemon that starts beside the upstream hears of it from each ingress that passed such an answer on.

Before: upstream_that_says_it_leaves_gets_no_calls_after_the_drain_time failed (1780 calls after the drain time). After: it passes, through a restart of the daemon beside the upstream.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -178,6 +178,16 @@
         self.change_limit(|statements| statements.hear(upstream, limit))
     }
 
+    /// Records that a response of `upstream` states that it leaves.
+    pub(crate) fn hear_leaving(&self, upstream: &Announcement) {
+        self.lock().statements.hear_leaving(upstream);
+    }
+
+    /// Returns whether `upstream` states that it leaves.
+    pub(crate) fn is_leaving(&self, upstream: &Announcement) -> bool {
+        self.lock().statements.is_leaving(upstream)
+    }
+
     /// Returns the limit that the upstream states.
     pub(crate) fn call_limit(&self) -> Option<CallRate> {
         self.lock().statements.limit()
--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -90,8 +90,8 @@
 struct Registration {
     announcement: Announcement,
     expires: Instant,
-    /// Whether the upstream drains regardless of its announced state, because an operator drains it or
-    /// it has deregistered.
+    /// Whether the upstream drains regardless of its announced state, because an operator drains it, it
+    /// has deregistered, or it states in its responses that it leaves.
     force_drain: bool,
 }
 
@@ -220,6 +220,22 @@
             })
     }
 
+    /// Drains the upstream if it still is the incarnation of `announced`; returns whether it did not drain
+    /// before.
+    pub(crate) fn drain_incarnation(&self, announced: &Announcement) -> bool {
+        self.registration.send_if_modified(|registration| {
+            let Some(registration) = registration else {
+                return false;
+            };
+            if registration.force_drain || !registration.announcement.is_same_incarnation(announced)
+            {
+                return false;
+            }
+            registration.force_drain = true;
+            true
+        })
+    }
+
     /// Returns the last announcement, with the state overridden by a drain, or `None` if there is none
     /// or it has expired.
     pub fn current(&self) -> Option<Announcement> {
--- a/crates/call/src/dialect.rs
+++ b/crates/call/src/dialect.rs
@@ -58,6 +58,11 @@
         Ok(None)
     }
 
+    /// Returns whether an upstream states in its response that it leaves.
+    fn states_leaving(&self, _headers: &HeaderMap) -> bool {
+        false
+    }
+
     /// Returns the HTTP status of a refusal.
     fn status(&self, refusal: &Refusal) -> StatusCode;
 
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -224,6 +224,10 @@
 
     /// Applies what the upstream states in a response.
     fn read_statement(&self, announced: &Announcement, headers: &HeaderMap) {
+        if self.dialect.states_leaving(headers) {
+            self.admission.hear_leaving(announced);
+            self.drain(announced);
+        }
         let stated = self.dialect.stated_limit(headers);
         let was_unreadable = self
             .limit_unreadable
@@ -251,6 +255,18 @@
         if let Some(upstream) = self.backend.current() {
             let notice = Notice::of(headers);
             self.admission.meet(&upstream, notice.as_ref());
+            if self.admission.is_leaving(&upstream) {
+                self.drain(&upstream);
+            }
+        }
+    }
+
+    /// Drains the upstream, which states that it leaves.
+    fn drain(&self, announced: &Announcement) {
+        if self.backend.drain_incarnation(announced) {
+            info!(self.log, "upstream states that it leaves";
+                "instance" => announced.instance.as_ref().map(ToString::to_string),
+                "start" => %announced.start);
         }
     }
 
--- a/crates/call/src/statements.rs
+++ b/crates/call/src/statements.rs
@@ -23,6 +23,7 @@
     instance: InstanceId,
     start: Incarnation,
     limit: Option<CallRate>,
+    leaving: bool,
 }
 
 /// Error for a text that is not a notice.
@@ -38,7 +39,7 @@
 
     /// Returns whether the upstream takes calls without restriction.
     fn is_plain(&self) -> bool {
-        self.limit.is_none()
+        self.limit.is_none() && !self.leaving
     }
 }
 
@@ -46,9 +47,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} {}", self.instance, self.start)?;
         match self.limit {
-            Some(limit) => write!(f, " {limit}"),
-            None => write!(f, " -"),
+            Some(limit) => write!(f, " {limit}")?,
+            None => write!(f, " -")?,
         }
+        f.write_str(if self.leaving { " leaving" } else { " staying" })
     }
 }
 
@@ -64,10 +66,16 @@
                 "-" => None,
                 limit => Some(limit.parse().ok()?),
             };
+            let leaving = match words.next()? {
+                "leaving" => true,
+                "staying" => false,
+                _ => return None,
+            };
             let notice = Self {
                 instance,
                 start,
                 limit,
+                leaving,
             };
             words.next().is_none().then_some(notice)
         };
@@ -82,6 +90,8 @@
     /// Whether a response has been seen, rather than only the notices of ingresses.
     heard: bool,
     limit: Option<CallRate>,
+    /// Whether it leaves; an incarnation that leaves does not come back.
+    leaving: bool,
 }
 
 impl Statements {
@@ -90,6 +100,11 @@
         self.limit
     }
 
+    /// Returns whether `upstream` leaves.
+    pub(crate) fn is_leaving(&self, upstream: &Announcement) -> bool {
+        self.leaving && self.concerns(upstream)
+    }
+
     /// Forgets the statements of an earlier incarnation than that of `upstream`.
     pub(crate) fn begin(&mut self, upstream: &Announcement) {
         if !self.concerns(upstream) {
@@ -108,14 +123,23 @@
         }
     }
 
-    /// Records the notice of an ingress, until a response has been seen. Of several, the lowest limit
-    /// counts.
+    /// Records that a response of `upstream` states that it leaves, unless another incarnation has begun.
+    pub(crate) fn hear_leaving(&mut self, upstream: &Announcement) {
+        self.leaving |= self.concerns(upstream);
+    }
+
+    /// Records the notice of an ingress: that the upstream leaves and, until a response has been seen, its
+    /// limit. Of several limits, the lowest counts.
     pub(crate) fn adopt(&mut self, notice: &Notice) {
         let current = self.notice();
         let concerned = current.is_some_and(|current| {
             current.instance == notice.instance && current.start == notice.start
         });
-        if !concerned || self.heard {
+        if !concerned {
+            return;
+        }
+        self.leaving |= notice.leaving;
+        if self.heard {
             return;
         }
         self.limit = match (self.limit, notice.limit) {
@@ -131,6 +155,7 @@
             instance: upstream.instance.clone()?,
             start: upstream.start,
             limit: self.limit,
+            leaving: self.leaving,
         })
     }
 
