Close a connection whose upstream sends interim responses without end

Found by a test of bytes without end, in a head or a body: after the call had been answered with 504, the connection of an upstream that sends interim responses without end stayed open for seconds more, and its reader ran beside the calls of others.

Cause: the HTTP library notices that a call has ended only between two messages, and read up to 400 KB at a time in a loop that did not end.

Ruled out, by the same test: status lines, blank lines, one header or many, bytes without a line, bodies with and without chunks, chunk extensions and bytes after a complete response; they ended with the call before this change.

Change: a connection whose call ends without a response is closed at once, and heads of responses are bounded to 64 KiB, as those of requests are.

Before: endless_bytes_of_an_upstream_end_with_the_call_and_harm_no_other failed at interim responses (still open 2 s after the call).

--- a/crates/call/src/connections.rs
+++ b/crates/call/src/connections.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use model::lock;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
 use crate::body::Body;
@@ -19,6 +20,9 @@
 /// Time after which an idle connection is dropped.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Largest head of a response. Also bounds the bytes that are read before other tasks run.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Pool of idle connections to the upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
@@ -26,35 +30,63 @@
     idle: Mutex<VecDeque<IdleConnection>>,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    /// Task that reads and writes the connection.
+    task: AbortHandle,
+}
+
 /// A connection without a call.
 #[derive(Debug)]
 struct IdleConnection {
     address: SocketAddr,
-    sender: SendRequest<Body>,
+    connection: Connection,
     expires: Instant,
 }
 
+/// Closes a connection whose call ends without a response, unless it is disarmed.
+///
+/// The library notices a call that has ended only between two messages, which an upstream that sends
+/// interim responses without end never lets happen.
+struct CloseGuard(Option<AbortHandle>);
+
+impl CloseGuard {
+    fn disarm(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for CloseGuard {
+    fn drop(&mut self) {
+        if let Some(task) = &self.0 {
+            task.abort();
+        }
+    }
+}
+
 /// A connection with a call in flight. Returns to the pool when dropped.
 #[derive(Debug)]
 pub(crate) struct InUse {
     connections: Arc<Connections>,
     address: SocketAddr,
-    sender: Option<SendRequest<Body>>,
+    connection: Option<Connection>,
     /// Maximum number of idle connections.
     max_idle: usize,
 }
 
 impl Drop for InUse {
     fn drop(&mut self) {
-        let Some(sender) = self.sender.take() else {
+        let Some(connection) = self.connection.take() else {
             return;
         };
         let mut idle = self.connections.lock();
         prune(&mut idle, self.address, Instant::now());
-        if !sender.is_closed() && idle.len() < self.max_idle {
+        if !connection.sender.is_closed() && idle.len() < self.max_idle {
             idle.push_back(IdleConnection {
                 address: self.address,
-                sender,
+                connection,
                 expires: Instant::now() + IDLE_TIMEOUT,
             });
         }
@@ -64,7 +96,7 @@
 impl InUse {
     /// Closes the connection instead of keeping it.
     pub(crate) fn discard(&mut self) {
-        self.sender = None;
+        self.connection = None;
     }
 }
 
@@ -84,17 +116,20 @@
         loop {
             let pooled = self.take(address);
             let fresh = pooled.is_none();
-            let mut sender = match pooled {
-                Some(sender) => sender,
+            let mut connection = match pooled {
+                Some(connection) => connection,
                 None => connect(address, deadline).await?,
             };
-            let sent = timeout_at(deadline, sender.try_send_request(request)).await;
+            let guard = CloseGuard(Some(connection.task.clone()));
+            let sent = connection.sender.try_send_request(request);
+            let sent = timeout_at(deadline, sent).await;
             let mut error = match sent {
                 Ok(Ok(response)) => {
+                    guard.disarm();
                     let in_use = InUse {
                         connections: Arc::clone(self),
                         address,
-                        sender: Some(sender),
+                        connection: Some(connection),
                         max_idle,
                     };
                     return Ok((response, in_use));
@@ -122,12 +157,14 @@
     }
 
     /// Takes an idle connection to `address` that is ready for a call.
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
         prune(&mut idle, address, Instant::now());
         // A connection whose response has only just ended is not ready yet and stays in the pool.
-        let ready = idle.iter().rposition(|idle| idle.sender.is_ready())?;
-        idle.remove(ready).map(|idle| idle.sender)
+        let ready = idle
+            .iter()
+            .rposition(|idle| idle.connection.sender.is_ready())?;
+        idle.remove(ready).map(|idle| idle.connection)
     }
 
     fn lock(&self) -> MutexGuard<'_, VecDeque<IdleConnection>> {
@@ -137,24 +174,29 @@
 
 /// Drops connections that are closed, have been idle too long, or lead to another address.
 fn prune(idle: &mut VecDeque<IdleConnection>, address: SocketAddr, now: Instant) {
-    idle.retain(|idle| idle.address == address && idle.expires > now && !idle.sender.is_closed());
+    idle.retain(|idle| {
+        idle.address == address && idle.expires > now && !idle.connection.sender.is_closed()
+    });
 }
 
-async fn connect(address: SocketAddr, deadline: Instant) -> Result<SendRequest<Body>, Refusal> {
+async fn connect(address: SocketAddr, deadline: Instant) -> Result<Connection, Refusal> {
     let stream = timeout_at(deadline, TcpStream::connect(address))
         .await
         .map_err(|_| unreachable("no answer in time"))?
         .map_err(unreachable)?;
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(unreachable)?;
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         // An error of the connection is reported to its call.
         let _ = connection.await;
     });
     sender.ready().await.map_err(unreachable)?;
-    Ok(sender)
+    let task = task.abort_handle();
+    Ok(Connection { sender, task })
 }
 
 fn unreachable(error: impl std::fmt::Display) -> Refusal {
