--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -114,6 +114,7 @@
         Server::spawn(listener, ConnectionLimits::default, log, move |request| {
             let gate = Arc::clone(&gate);
             async move {
+                let has_notice = request.headers().contains_key(NOTICE);
                 let result = gate.handle(request).await;
                 let mut response = result.unwrap_or_else(|refusal| {
                     gate.metrics.count_refusal(&refusal);
@@ -126,7 +127,7 @@
                 gate.metrics.call_limit.set(limit);
                 let load = HeaderValue::from(gate.admission.load());
                 response.headers_mut().insert(LOAD, load);
-                gate.write_notice(response.headers_mut());
+                gate.write_notice(response.headers_mut(), has_notice);
                 response
             }
         })
@@ -270,9 +271,11 @@
         }
     }
 
-    /// Writes what the upstream states, for the ingress.
-    fn write_notice(&self, headers: &mut HeaderMap) {
+    /// Writes what the upstream states, for the ingress. An ingress without a notice is told of restrictions
+    /// only.
+    fn write_notice(&self, headers: &mut HeaderMap, has_notice: bool) {
         let notice = self.admission.notice();
+        let notice = notice.filter(|notice| has_notice || !notice.is_plain());
         let notice = notice.and_then(|notice| HeaderValue::from_str(&notice.to_string()).ok());
         if let Some(notice) = notice {
             headers.insert(NOTICE, notice);
--- a/crates/call/src/statements.rs
+++ b/crates/call/src/statements.rs
@@ -38,7 +38,7 @@
     }
 
     /// Returns whether the upstream takes calls without restriction.
-    fn is_plain(&self) -> bool {
+    pub(crate) fn is_plain(&self) -> bool {
         self.limit.is_none() && !self.leaving
     }
 }
