--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -29,6 +29,19 @@
     pub(crate) occupancy: Occupancy,
 }
 
+/// Status of the upstream, as the gate reports it.
+#[derive(Debug)]
+pub(crate) struct Status {
+    /// Queued calls.
+    pub(crate) waiting: u32,
+    /// Load in percent.
+    pub(crate) load: u32,
+    /// Limit of calls that the upstream states.
+    pub(crate) call_limit: Option<CallRate>,
+    /// What the upstream states, for other daemons.
+    pub(crate) notice: Option<Notice>,
+}
+
 /// An admission request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Request<'a> {
@@ -152,14 +165,15 @@
         self.lock().queue.resize(slots);
     }
 
-    /// Returns the number of running and queued calls.
-    pub(crate) fn occupancy(&self) -> Occupancy {
-        self.lock().queue.occupancy()
-    }
-
-    /// Returns the load of the upstream, in percent.
-    pub(crate) fn load(&self) -> u32 {
-        self.lock().queue.load(Instant::now())
+    /// Returns the status that the gate reports.
+    pub(crate) fn status(&self) -> Status {
+        let state = self.lock();
+        Status {
+            waiting: state.queue.occupancy().waiting,
+            load: state.queue.load(Instant::now()),
+            call_limit: state.statements.limit(),
+            notice: state.statements.notice(),
+        }
     }
 
     /// Forgets what an earlier incarnation than that of `upstream` stated, and records what the ingress of a
@@ -188,16 +202,6 @@
         self.lock().statements.is_leaving(upstream)
     }
 
-    /// Returns the limit that the upstream states.
-    pub(crate) fn call_limit(&self) -> Option<CallRate> {
-        self.lock().statements.limit()
-    }
-
-    /// Returns what the upstream states, for other daemons.
-    pub(crate) fn notice(&self) -> Option<Notice> {
-        self.lock().statements.notice()
-    }
-
     /// Changes the statements; returns whether the limit in force is another one.
     fn change_limit(&self, change: impl FnOnce(&mut Statements)) -> bool {
         {
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,14 +1,16 @@
 //! The gate in front of an upstream: admits calls and forwards them to it.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+mod statements;
+
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use model::{CallRate, ConnectionLimits, Rate, RouteName, Secret, Size, lock};
+use model::{ConnectionLimits, Rate, RouteName, Secret, Size, lock};
 use prometheus::IntGauge;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -20,7 +22,7 @@
 use crate::dialect::{Dialect, ResponseCheck};
 use crate::forward::{deadline, for_upstream, reservation, route};
 use crate::header::{
-    BODY, FLEET_KEY, KEY, LOAD, NO_WAIT, NOTICE, OBJECTIVE, RESERVATION, RESERVE, SERVICE, number,
+    BODY, FLEET_KEY, KEY, NO_WAIT, NOTICE, OBJECTIVE, RESERVATION, RESERVE, SERVICE, number,
     remove_hop_by_hop, remove_internal,
 };
 use crate::keys::{Claim, KeyStatus, Keys, Registration};
@@ -30,16 +32,12 @@
 use crate::request::priority;
 use crate::reserve::{ReservationId, Reservations};
 use crate::serve::{Server, ServerError};
-use crate::statements::Notice;
 use crate::uplink::Uplink;
 use crate::{Metrics, Outcome, Refusal, RefusalKind};
 
 /// Time after the deadline during which a response of the upstream is still accepted.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 
-/// Value of the call limit's metric while the upstream states none.
-const NO_CALL_LIMIT: f64 = -1.0;
-
 /// The gate in front of an upstream.
 #[derive(Debug)]
 pub struct Gate {
@@ -120,14 +118,7 @@
                     gate.metrics.count_refusal(&refusal);
                     refusal.to_daemon()
                 });
-                let occupancy = gate.admission.occupancy();
-                gate.metrics.waiting.set(i64::from(occupancy.waiting));
-                let limit = gate.admission.call_limit();
-                let limit = limit.map_or(NO_CALL_LIMIT, CallRate::per_second);
-                gate.metrics.call_limit.set(limit);
-                let load = HeaderValue::from(gate.admission.load());
-                response.headers_mut().insert(LOAD, load);
-                gate.write_notice(response.headers_mut(), has_notice);
+                gate.write_status(response.headers_mut(), has_notice);
                 response
             }
         })
@@ -223,65 +214,6 @@
         Err(refusal)
     }
 
-    /// Applies what the upstream states in a response.
-    fn read_statement(&self, announced: &Announcement, headers: &HeaderMap) {
-        if self.dialect.states_leaving(headers) {
-            self.admission.hear_leaving(announced);
-            self.drain(announced);
-        }
-        let stated = self.dialect.stated_limit(headers);
-        let was_unreadable = self
-            .limit_unreadable
-            .swap(stated.is_err(), Ordering::Relaxed);
-        let limit = match stated {
-            Ok(limit) => limit,
-            Err(error) => {
-                if !was_unreadable {
-                    warn!(self.log, "call limit of the upstream ignored, the last one stays"; "error" => %error);
-                }
-                return;
-            }
-        };
-        if !self.admission.hear(announced, limit) {
-            return;
-        }
-        let per_second = limit.map(|limit| limit.to_string());
-        info!(self.log, "call limit of the upstream changed";
-            "instance" => announced.instance.as_ref().map(ToString::to_string),
-            "per_second" => per_second);
-    }
-
-    /// Applies what the ingress of a call knows of the upstream.
-    fn read_notice(&self, headers: &HeaderMap) {
-        if let Some(upstream) = self.backend.current() {
-            let notice = Notice::of(headers);
-            self.admission.meet(&upstream, notice.as_ref());
-            if self.admission.is_leaving(&upstream) {
-                self.drain(&upstream);
-            }
-        }
-    }
-
-    /// Drains the upstream, which states that it leaves.
-    fn drain(&self, announced: &Announcement) {
-        if self.backend.drain_incarnation(announced) {
-            info!(self.log, "upstream states that it leaves";
-                "instance" => announced.instance.as_ref().map(ToString::to_string),
-                "start" => %announced.start);
-        }
-    }
-
-    /// Writes what the upstream states, for the ingress. An ingress without a notice is told of restrictions
-    /// only.
-    fn write_notice(&self, headers: &mut HeaderMap, has_notice: bool) {
-        let notice = self.admission.notice();
-        let notice = notice.filter(|notice| has_notice || !notice.is_plain());
-        let notice = notice.and_then(|notice| HeaderValue::from_str(&notice.to_string()).ok());
-        if let Some(notice) = notice {
-            headers.insert(NOTICE, notice);
-        }
-    }
-
     /// Reserves a slot for a call that follows.
     async fn reserve(
         &self,
