List a queue that takes idle time for a stall

Seen beside the tests of limits: after half a second without calls, 4 of 2,095 calls were refused at once although 12 slots had just been taken and each call took milliseconds. The estimate counts the time since the last call ended, also when none ran.

--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -161,6 +161,23 @@
     );
 }
 
+#[test]
+fn burst_after_idle_time_is_queued_rather_than_shed() {
+    let mut now = Instant::now();
+    let mut queue = busy(12, millis(20), now);
+    for _ in 0..12 {
+        queue.leave(now);
+    }
+    // The time without a call is no stall.
+    now += millis(2_000);
+    let params = with_objective(Priority::Normal, 500, now);
+    assert!((0..12).all(|call| queue.enter(params, call, now) == Decision::Run));
+    assert!(matches!(
+        queue.enter(params, 12, now),
+        Decision::Wait { .. }
+    ));
+}
+
 #[test]
 fn high_priority_call_sheds_queued_calls_that_would_miss_their_objective() {
     let now = Instant::now();
