--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -176,25 +176,25 @@
         }
     }
 
-    /// Forgets what an earlier incarnation than that of `upstream` stated, and records what the ingress of a
-    /// call knows of it.
-    pub(crate) fn meet(&self, upstream: &Announcement, notice: Option<&Notice>) {
+    /// Starts over if `upstream` is another incarnation than the last one, and merges the notice of an
+    /// ingress.
+    pub(crate) fn track_upstream(&self, upstream: &Announcement, notice: Option<&Notice>) {
         self.change_limit(|statements| {
-            statements.begin(upstream);
+            statements.track(upstream);
             if let Some(notice) = notice {
-                statements.adopt(notice);
+                statements.merge_notice(notice);
             }
         });
     }
 
     /// Records the limit that a response of `upstream` states; returns whether it differs from the last.
-    pub(crate) fn hear(&self, upstream: &Announcement, limit: Option<CallRate>) -> bool {
-        self.change_limit(|statements| statements.hear(upstream, limit))
+    pub(crate) fn record_limit(&self, upstream: &Announcement, limit: Option<CallRate>) -> bool {
+        self.change_limit(|statements| statements.record_limit(upstream, limit))
     }
 
     /// Records that a response of `upstream` states that it leaves.
-    pub(crate) fn hear_leaving(&self, upstream: &Announcement) {
-        self.lock().statements.hear_leaving(upstream);
+    pub(crate) fn record_leaving(&self, upstream: &Announcement) {
+        self.lock().statements.record_leaving(upstream);
     }
 
     /// Returns whether `upstream` states that it leaves.
--- a/crates/call/src/gate/statements.rs
+++ b/crates/call/src/gate/statements.rs
@@ -1,4 +1,4 @@
-//! What the upstream states in its responses, as the gate applies it and tells it to ingresses.
+//! What the upstream states in its responses, as the gate applies it and reports it to ingresses.
 
 use std::sync::atomic::Ordering;
 
@@ -18,7 +18,7 @@
     /// Applies what the upstream states in a response.
     pub(super) fn read_statement(&self, announced: &Announcement, headers: &HeaderMap) {
         if self.dialect.states_leaving(headers) {
-            self.admission.hear_leaving(announced);
+            self.admission.record_leaving(announced);
             self.drain(announced);
         }
         let stated = self.dialect.stated_limit(headers);
@@ -34,7 +34,7 @@
                 return;
             }
         };
-        if !self.admission.hear(announced, limit) {
+        if !self.admission.record_limit(announced, limit) {
             return;
         }
         let per_second = limit.map(|limit| limit.to_string());
@@ -43,11 +43,11 @@
             "per_second" => per_second);
     }
 
-    /// Applies what the ingress of a call knows of the upstream.
+    /// Applies the notice in a request of an ingress.
     pub(super) fn read_notice(&self, headers: &HeaderMap) {
         if let Some(upstream) = self.backend.current() {
             let notice = Notice::of(headers);
-            self.admission.meet(&upstream, notice.as_ref());
+            self.admission.track_upstream(&upstream, notice.as_ref());
             if self.admission.is_leaving(&upstream) {
                 self.drain(&upstream);
             }
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Writes the load and what the upstream states, for the ingress. An ingress without a notice is told of
-    /// restrictions only.
+    /// Writes the load and what the upstream states, for the ingress. An ingress without a notice gets one
+    /// only for restrictions.
     pub(super) fn write_status(&self, headers: &mut HeaderMap, has_notice: bool) {
         let status = self.admission.status();
         self.metrics.waiting.set(i64::from(status.waiting));
--- a/crates/call/src/statements.rs
+++ b/crates/call/src/statements.rs
@@ -1,7 +1,7 @@
 //! What an upstream states in its responses about the calls that it takes.
 //!
 //! The gate beside the upstream sees every response and applies what they state. A gate that has just
-//! started has seen none; it learns from the ingresses, which send along what the gate last told them.
+//! started has seen none; it learns from the ingresses, which send back what the gate last reported.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -17,7 +17,7 @@
 /// Maximum number of VMs whose notices an ingress keeps; at the limit an arbitrary one is dropped.
 const MAX_NOTICES: usize = 32_768;
 
-/// What one incarnation of an upstream states, as daemons tell it each other.
+/// What one incarnation of an upstream states, as daemons report it to each other.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Notice {
     instance: InstanceId,
@@ -87,8 +87,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Statements {
     upstream: Option<Announcement>,
-    /// Whether a response has been seen, rather than only the notices of ingresses.
-    heard: bool,
+    /// Whether `limit` is from a response, rather than from notices of ingresses.
+    confirmed: bool,
     limit: Option<CallRate>,
     /// Whether it leaves; an incarnation that leaves does not come back.
     leaving: bool,
@@ -105,8 +105,8 @@
         self.leaving && self.concerns(upstream)
     }
 
-    /// Forgets the statements of an earlier incarnation than that of `upstream`.
-    pub(crate) fn begin(&mut self, upstream: &Announcement) {
+    /// Starts over if `upstream` is another incarnation than the last one.
+    pub(crate) fn track(&mut self, upstream: &Announcement) {
         if !self.concerns(upstream) {
             *self = Self {
                 upstream: Some(upstream.clone()),
@@ -115,22 +115,22 @@
         }
     }
 
-    /// Records the limit that a response of `upstream` states, unless another incarnation has begun.
-    pub(crate) fn hear(&mut self, upstream: &Announcement, limit: Option<CallRate>) {
+    /// Records the limit that a response of `upstream` states, unless it is no longer the current incarnation.
+    pub(crate) fn record_limit(&mut self, upstream: &Announcement, limit: Option<CallRate>) {
         if self.concerns(upstream) {
-            self.heard = true;
+            self.confirmed = true;
             self.limit = limit;
         }
     }
 
-    /// Records that a response of `upstream` states that it leaves, unless another incarnation has begun.
-    pub(crate) fn hear_leaving(&mut self, upstream: &Announcement) {
+    /// Records that a response of `upstream` states that it leaves, unless it is no longer the current incarnation.
+    pub(crate) fn record_leaving(&mut self, upstream: &Announcement) {
         self.leaving |= self.concerns(upstream);
     }
 
     /// Records the notice of an ingress: that the upstream leaves and, until a response has been seen, its
     /// limit. Of several limits, the lowest counts.
-    pub(crate) fn adopt(&mut self, notice: &Notice) {
+    pub(crate) fn merge_notice(&mut self, notice: &Notice) {
         let current = self.notice();
         let concerned = current.is_some_and(|current| {
             current.instance == notice.instance && current.start == notice.start
@@ -139,7 +139,7 @@
             return;
         }
         self.leaving |= notice.leaving;
-        if self.heard {
+        if self.confirmed {
             return;
         }
         self.limit = match (self.limit, notice.limit) {
