Drain an upstream in one place, and list the follower's gauges plainly

Read again, no change of behaviour. Cause: the drain for a stated departure was a third copy of the update that an operator's drain and a deregistration make; they differ in the condition alone, which drain_if takes now. The era's gauge had turned an array into a pattern.

--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -180,17 +180,9 @@
     }
 
     fn deregister_known(&self, instance: &InstanceId, incarnation: Option<Incarnation>) -> bool {
-        self.registration.send_if_modified(|registration| {
-            let Some(old) = registration else {
-                return false;
-            };
+        self.drain_if(|old| {
             let known = old.announcement.instance.as_ref() == Some(instance);
-            if !known || incarnation.is_some_and(|incarnation| incarnation < old.announcement.start)
-            {
-                return false;
-            }
-            old.force_drain = true;
-            true
+            known && incarnation.is_none_or(|incarnation| incarnation >= old.announcement.start)
         })
     }
 
@@ -210,9 +202,22 @@
 
     /// Drains the upstream regardless of its announced state; returns whether there is one.
     pub fn drain(&self) -> bool {
+        self.drain_if(|registration| registration.expires > Instant::now())
+    }
+
+    /// Drains the upstream if it still is the incarnation of `announced`; returns whether it did not drain
+    /// before.
+    pub(crate) fn drain_incarnation(&self, announced: &Announcement) -> bool {
+        self.drain_if(|registration| {
+            !registration.force_drain && registration.announcement.is_same_incarnation(announced)
+        })
+    }
+
+    /// Drains the registered upstream if `condition` holds; returns whether it does.
+    fn drain_if(&self, condition: impl FnOnce(&Registration) -> bool) -> bool {
         self.registration
             .send_if_modified(|registration| match registration {
-                Some(registration) if registration.expires > Instant::now() => {
+                Some(registration) if condition(registration) => {
                     registration.force_drain = true;
                     true
                 }
@@ -220,22 +225,6 @@
             })
     }
 
-    /// Drains the upstream if it still is the incarnation of `announced`; returns whether it did not drain
-    /// before.
-    pub(crate) fn drain_incarnation(&self, announced: &Announcement) -> bool {
-        self.registration.send_if_modified(|registration| {
-            let Some(registration) = registration else {
-                return false;
-            };
-            if registration.force_drain || !registration.announcement.is_same_incarnation(announced)
-            {
-                return false;
-            }
-            registration.force_drain = true;
-            true
-        })
-    }
-
     /// Returns the last announcement, with the state overridden by a drain, or `None` if there is none
     /// or it has expired.
     pub fn current(&self) -> Option<Announcement> {
--- a/crates/follow/src/metrics.rs
+++ b/crates/follow/src/metrics.rs
@@ -75,15 +75,13 @@
     }
 
     fn gauges(&self) -> [&IntGauge; 5] {
-        let Self {
-            version,
-            age,
-            members,
-            connected,
-            era,
-            ..
-        } = self;
-        [version, age, members, connected, era]
+        [
+            &self.version,
+            &self.age,
+            &self.members,
+            &self.connected,
+            &self.era,
+        ]
     }
 }
 
