Do not take an idle queue's idle time for a stall

Callers saw calls refused in the first burst after a quiet spell, although the queue could have served them in time.

Cause: the expected wait of a full queue is at least the time since the last completion, for each call ahead. After idle time that is the idle time, so the first call beyond the slots was refused as if the upstream had stalled. Ruled out: the mean latency and the pacer, which are right in that state.

The stall now begins at the last completion or at the last start, whichever is later: a full queue starts no call without a completion, so a real stall is measured as before (expected_wait_grows_while_no_call_completes).

The rest of call's policy tests pass.

--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -136,6 +136,8 @@
     running: u32,
     waiting: BTreeMap<Rank, Waiting<W>>,
     sequence: u64,
+    /// When a call last started.
+    last_start: Instant,
     /// When a call last completed.
     last_end: Option<Instant>,
 }
@@ -149,6 +151,7 @@
             running: 0,
             waiting: BTreeMap::new(),
             sequence: 0,
+            last_start: now,
             last_end: None,
         }
     }
@@ -198,7 +201,7 @@
         let free =
             self.running < self.limit.get() && self.waiting.is_empty() && self.pacer.take(now);
         if free {
-            self.running += 1;
+            self.start(now);
         }
         free
     }
@@ -302,13 +305,18 @@
                 released.expired.push(waiting.waiter);
             } else {
                 self.pacer.take(now);
-                self.running += 1;
+                self.start(now);
                 released.admitted.push(waiting.waiter);
             }
         }
         released
     }
 
+    fn start(&mut self, now: Instant) {
+        self.running += 1;
+        self.last_start = now;
+    }
+
     fn rank(&self, params: &SchedulingParams) -> Rank {
         Rank {
             priority: Reverse(params.priority),
@@ -345,14 +353,14 @@
     /// Estimates the queueing time of a call behind `before` others.
     ///
     /// The mean latency does not show that an upstream has become slow until some calls complete. The time
-    /// since the last completion shows it earlier.
+    /// since the last completion shows it earlier, unless the slots filled up only after it.
     fn estimate_wait(&self, before: u32, now: Instant) -> Duration {
         let rounds = f64::from(before + 1) / f64::from(self.limit.get().max(1));
         let usual = self.limit.latency().mul_f64(rounds);
         let is_full = self.running >= self.limit.get();
         let stall = self.last_end.filter(|_| is_full);
         let stall = stall.map_or(Duration::ZERO, |last_end| {
-            now.saturating_duration_since(last_end)
+            now.saturating_duration_since(last_end.max(self.last_start))
         });
         let paced = self.pacer.wait(before, now);
         usual.max(stall * (before + 1)).max(paced)
