Serve routes of type download, and routes of types not known

On the deployments whose configuration has the route type download, every call was refused: the type could not be read, so the whole configuration was refused and no version was ever in force.

A download runs like an idempotent route, and the route says that its responses are large (rules.large_response, also in the operators' library). A type that this release does not know no longer refuses the configuration: its route runs each call at most once, which holds for every type, and a warning names it. A configuration without a type, with a number for it, or with a download without a timeout is refused whole, as before.

--- a/crates/follow/src/config.rs
+++ b/crates/follow/src/config.rs
@@ -160,7 +160,7 @@
             return;
         }
         let read = self.format.read(value);
-        let configuration = match read {
+        let mut configuration = match read {
             Ok(configuration) => configuration,
             Err(error) => {
                 warn!(self.log, "configuration refused"; "origin" => origin, "bytes" => value.len(),
@@ -174,6 +174,7 @@
             return;
         }
         let limits = configuration.limits;
+        let warnings = std::mem::take(&mut configuration.warnings);
         match self
             .table
             .install_with(to_full_version(configuration), limits)
@@ -187,6 +188,10 @@
                 info!(self.log, "configuration in force"; "version" => %version,
                     "previous" => %in_force, "origin" => origin, "bytes" => value.len(),
                     "took_ms" => started.elapsed().as_millis() as u64);
+                for warning in warnings {
+                    warn!(self.log, "configuration not fully known"; "version" => %version,
+                        "reason" => warning);
+                }
             }
             Ok(Applied::Stale) => {}
             Err(error) => {
--- a/crates/follow/src/format.rs
+++ b/crates/follow/src/format.rs
@@ -13,6 +13,8 @@
     pub items: Vec<Item>,
     /// Limits on callers' connections.
     pub limits: ConnectionLimits,
+    /// What this release reads differently from what the operator may mean, for the log.
+    pub warnings: Vec<String>,
 }
 
 /// A configuration that cannot be parsed.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -209,6 +209,9 @@
     /// Whether a call may run more than once; determined by its HTTP method if absent.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub idempotent: Option<bool>,
+    /// Whether the responses are large, so that their bytes weigh more than a short wait.
+    #[serde(skip_serializing_if = "is_false")]
+    pub large_response: bool,
     /// Priority of the calls under overload.
     pub priority: Priority,
     /// Largest request body.
@@ -222,12 +225,18 @@
             objective: None,
             retries: 2,
             idempotent: None,
+            large_response: false,
             priority: Priority::Normal,
             body_limit: Size::new(64 << 20),
         }
     }
 }
 
+/// Returns whether `flag` is not set; such a flag is left out of the printed configuration.
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// Priority of a route's calls under overload.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -255,6 +255,12 @@
         self
     }
 
+    /// Sets whether the responses are large, such as downloads.
+    pub fn large_response(mut self, large: bool) -> Self {
+        self.route.rules.large_response = large;
+        self
+    }
+
     /// Sets the priority of the calls under overload.
     pub fn priority(mut self, priority: Priority) -> Self {
         self.route.rules.priority = priority;
