Delete the entries of VMs that left while the store was away

Cause: a VM that leaves while the store is away cannot write that it left. Its peers know it, but its entry in the store still says ready, under a lease that the outage may have paused. Ruled out: the exchange between peers, which had the departure within 0.3 s, and the relays, which pass on what the store holds.

A daemon that follows the store now compares each second what it knows of VMs that drain or have left with their entries. An entry that is older at two checks is deleted, at the revision that was found, so that a VM that is still there and has written again keeps it; one whose entry is deleted writes it anew, as after any loss of an entry.

--- a/crates/follow/src/feed.rs
+++ b/crates/follow/src/feed.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// Returns the current entry of `key`.
+    pub fn entry(&self, key: &str) -> Option<Entry> {
+        self.entries.get(key).cloned()
+    }
+
     /// Returns the changes after `after`, or `None` if deletions since then are not known.
     pub fn since(&self, after: Revision) -> Option<Changes> {
         if self.oldest.is_none_or(|oldest| after < oldest) {
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Decisions are separate from sockets and clocks: the selection of relays ([`relays`]), the next read of
 //! the store ([`schedule`]), the next call for the local record ([`publisher`]), the changes that a relay
-//! sends ([`feed`]) and the expiry of members ([`suspects`]).
+//! sends ([`feed`]), the expiry of members ([`suspects`]) and the entries to delete ([`outdated`]).
 
 mod config;
 mod error;
@@ -16,6 +16,7 @@
 mod members;
 mod metrics;
 mod node;
+pub mod outdated;
 pub mod packed;
 mod peers;
 pub mod publisher;
--- a/crates/follow/src/members.rs
+++ b/crates/follow/src/members.rs
@@ -51,6 +51,16 @@
     fleet::Record::from(record).encode_to_vec()
 }
 
+/// Returns the record in `entry`, or why it has none.
+pub(crate) fn decode(entry: &Entry) -> Result<Record, String> {
+    let read = fleet::Record::decode(&entry.value[..]).map_err(|error| error.to_string())?;
+    let record = Record::try_from(read).map_err(|error| error.to_string())?;
+    match Some(&record.vm) == vm_of(&entry.key).as_ref() {
+        true => Ok(record),
+        false => Err(format!("it holds the record of VM {}", record.vm)),
+    }
+}
+
 impl Directory {
     pub(crate) fn new(table: Arc<Table>, log: Logger) -> Self {
         Self {
@@ -97,16 +107,8 @@
     }
 
     fn decode(&self, entry: &Entry) -> Option<Record> {
-        let read = fleet::Record::decode(&entry.value[..])
-            .map_err(|error| error.to_string())
-            .and_then(|record| Record::try_from(record).map_err(|error| error.to_string()));
-        match read {
-            Ok(record) if Some(&record.vm) == vm_of(&entry.key).as_ref() => Some(record),
-            Ok(record) => {
-                warn!(self.log, "membership entry skipped"; "key" => &entry.key,
-                    "reason" => format!("it holds the record of VM {}", record.vm));
-                None
-            }
+        match decode(entry) {
+            Ok(record) => Some(record),
             Err(error) => {
                 warn!(self.log, "membership entry skipped"; "key" => &entry.key,
                     "reason" => error);
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -9,7 +9,7 @@
 use prometheus::Registry;
 use rand::RngExt;
 use slog::{Logger, info, warn};
-use store::{Era, Error, Put, Revision, Store};
+use store::{Era, Error, Expect, Put, Revision, Store};
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -20,6 +20,7 @@
 use crate::config::Installer;
 use crate::members::{self, Directory};
 use crate::metrics::FollowerMetrics;
+use crate::outdated::outdated;
 use crate::peers::Exchange;
 use crate::publisher::{Publisher, Step};
 use crate::relay_client::RelayClient;
@@ -34,6 +35,10 @@
 /// Mean time between two exchanges with a random peer while the store does not answer.
 const OUTAGE_EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Mean time between two checks for entries of VMs that have left. Longer than a daemon that is still there
+/// takes to write its record again.
+const RETIRE_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Settings of a [`Follower`].
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -111,6 +116,7 @@
             tokio::spawn(follow(Arc::clone(&shared), Topic::Config(format))).abort_handle(),
             tokio::spawn(follow(Arc::clone(&shared), Topic::Members)).abort_handle(),
             tokio::spawn(exchange.clone().probe_suspects()).abort_handle(),
+            tokio::spawn(retire_outdated(Arc::clone(&shared))).abort_handle(),
             tokio::spawn(exchange_periodically(
                 Arc::clone(&shared),
                 settings.exchange,
@@ -276,6 +282,36 @@
     Ok(())
 }
 
+/// Deletes the entries of VMs that left while the store was away, so that no daemon that starts uses them.
+///
+/// An entry is deleted if two checks find it, at the revision that was found. A VM that is still there
+/// writes its entry again.
+async fn retire_outdated(shared: Arc<Shared>) {
+    let mut found = Vec::new();
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        sleep(RETIRE_INTERVAL.mul_f64(jitter)).await;
+        let before = std::mem::take(&mut found);
+        if !shared.follows_store() || !*shared.store_up.borrow() {
+            continue;
+        }
+        let state = shared.exchange.topic_state(fleet::Topic::Members);
+        let members = shared.directory.table().members().all();
+        found = outdated(&members, |key| state.entry(key));
+        for (vm, revision) in found.iter().filter(|entry| before.contains(entry)) {
+            let key = members::key(vm);
+            match shared.store.delete(&key, Expect::At(*revision)).await {
+                Ok(Put::Done(_)) => info!(shared.log, "entry of a VM that left deleted";
+                    "member" => %vm, "revision" => %revision),
+                Ok(Put::Conflict) => info!(shared.log, "entry of a VM that left has changed";
+                    "member" => %vm, "revision" => %revision),
+                Err(error) => warn!(shared.log, "entry of a VM that left stays for now";
+                    "member" => %vm, "error" => %error),
+            }
+        }
+    }
+}
+
 /// Exchanges with random peers, more often while the store does not answer.
 async fn exchange_periodically(shared: Arc<Shared>, mean: Millis) {
     let exchange = &shared.exchange;
--- a/crates/follow/src/topic_state.rs
+++ b/crates/follow/src/topic_state.rs
@@ -68,6 +68,11 @@
         self.lock().snapshot()
     }
 
+    /// Returns the current entry of `key`.
+    pub(crate) fn entry(&self, key: &str) -> Option<Entry> {
+        self.lock().entry(key)
+    }
+
     /// Returns the changes after `after`, or `None` if deletions since then are not known.
     pub(crate) fn since(&self, after: Revision) -> Option<Changes> {
         self.lock().since(after)
