Keep queues short in a sustained overload, and calls near

Under overload, half of the answers came late and every refused call had been sent to five gates.

Causes: (1) The route with the shortest objective at an upstream was taken for that of nested calls, and might queue past its objective; clue-view is no nested call. (2) In an overload that lasts, a queue stands at its bound: every call waits for it, for no more calls served. (3) Each call asked four gates for a free slot although they had just refused, wherever they were. (4) Gates of leaving upstreams were tried in place of full ones.

Calls are nested if their deadline is the shortest at the upstream by far. Once calls have queued for 300 ms without a break, the queue is bounded by the square root of the slots until nothing has been refused for 300 ms. A gate that refused a call counts as full for the wait that it expects, and is not asked meanwhile; a near gate may be joined behind a short queue before one elsewhere is asked, and goes before one that is 15 ms better, or 150 ms for routes with large responses. A call that a queue refused may queue at one more gate. Ejected and leaving gates come last.

The wait expected in a stall is the usual one and the time since the last completion; that time was multiplied by the calls ahead, so that a gap of 16 ms between completions refused calls that would have been in time.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -53,6 +53,8 @@
     pub(crate) deadline: Instant,
     /// When the response is due under the route's latency objective.
     pub(crate) objective: Option<Instant>,
+    /// Whether the call may only join a short queue.
+    pub(crate) brief: bool,
 }
 
 /// Receiver of the decision about a queued call.
@@ -75,6 +77,10 @@
                 let left = objective.saturating_duration_since(Instant::now());
                 self.route_stats.boost(route, left)
             });
+        if let Some(route) = request.route {
+            let left = request.deadline.saturating_duration_since(Instant::now());
+            self.route_stats.record_deadline(route, left);
+        }
         SchedulingParams {
             priority: request.priority,
             deadline: request.deadline,
@@ -83,9 +89,10 @@
                 .route
                 .and_then(|route| self.route_stats.service_time(route)),
             boost: boost.unwrap_or_default(),
+            brief: request.brief,
             prefers_deadline: request
                 .route
-                .is_some_and(|route| self.route_stats.has_tightest_objective(route)),
+                .is_some_and(|route| self.route_stats.is_nested(route)),
         }
     }
 
@@ -124,7 +131,8 @@
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.admission.lock().queue.cancel(self.rank);
+        let mut state = self.admission.lock();
+        state.queue.cancel(self.rank, Instant::now());
     }
 }
 
@@ -258,7 +266,9 @@
     /// Takes a slot, queueing for at most the call's maximum queueing time.
     pub(crate) async fn enter(&self, request: &Request<'_>) -> AdmissionResult {
         let result = self.wait(request).await;
-        self.lock().record_decision(request, result.is_ok());
+        if result.is_ok() || !request.brief {
+            self.lock().record_decision(request, result.is_ok());
+        }
         result
     }
 
--- a/crates/call/src/choose.rs
+++ b/crates/call/src/choose.rs
@@ -1,18 +1,23 @@
 //! Load balancing: chooses a pool and an upstream in it.
 
+use std::time::Duration;
+
 use rand::{Rng, RngExt};
 use table::{PoolIndex, RouteTable};
 
 use crate::health::Availability;
 
-/// Load (1 is full) from which calls spill over to farther upstreams. Traffic between failure domains costs
-/// the operators more than a query to a gate that has become full in the meantime.
-const SPILL_LOAD: f64 = 1.0;
+/// Load (1 is full) from which calls spill over to farther upstreams: a full upstream with a short queue.
+/// Traffic between failure domains costs the operators more than a short wait.
+const SPILL_LOAD: f64 = 1.25;
 
 /// Relative latency from which calls spill over to farther upstreams: well above the usual differences
 /// between upstreams of one service.
 const SPILL_RELATIVE_LATENCY: f64 = 2.0;
 
+/// Factor on both limits for calls with large responses, which cost far more between failure domains.
+const LARGE_SPILL_FACTOR: f64 = 1.6;
+
 /// Maximum number of random draws; a draw of an upstream in slow start is partly rejected.
 const MAX_DRAWS: usize = 8;
 
@@ -42,6 +47,8 @@
     pub availability: Availability,
     /// Whether this call has already attempted it.
     pub attempted: bool,
+    /// Queueing time that its gate reported when it last refused a call, less the time since.
+    pub wait: Duration,
 }
 
 impl Candidate {
@@ -51,6 +58,15 @@
     }
 }
 
+/// What the choice of an upstream depends on besides the candidates.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Preference {
+    /// Whether this is the call's first attempt, which may be a trial of an ejected upstream.
+    pub first: bool,
+    /// Whether the response is large.
+    pub large: bool,
+}
+
 /// Returns one of the route's pools at random, by weight.
 pub fn pool(route: &RouteTable, rng: &mut impl Rng) -> PoolIndex {
     let total: u64 = route
@@ -74,11 +90,21 @@
 /// Picks the better of two random candidates in the failure domain; if that one is loaded or slow, also
 /// considers the region, then all. On a call's first attempt, an upstream due for a trial call takes
 /// precedence. An ejected one is chosen only if there is no other.
-pub fn upstream(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+pub fn upstream(
+    candidates: &[Candidate],
+    preference: Preference,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let factor = if preference.large {
+        LARGE_SPILL_FACTOR
+    } else {
+        1.0
+    };
     let remaining = || (0..candidates.len()).filter(|i| !candidates[*i].attempted);
-    let first_attempt = remaining().count() == candidates.len();
     let mut trial = remaining().filter(|i| candidates[*i].availability == Availability::Trial);
-    if first_attempt && let Some(trial) = trial.next() {
+    if preference.first
+        && let Some(trial) = trial.next()
+    {
         return Some(trial);
     }
     let mut open: Vec<usize> = remaining()
@@ -97,8 +123,8 @@
         let Some(found) = better_of_two(candidates, &near, rng) else {
             continue;
         };
-        if candidates[found].load < SPILL_LOAD
-            && candidates[found].relative_latency < SPILL_RELATIVE_LATENCY
+        if candidates[found].load < SPILL_LOAD * factor
+            && candidates[found].relative_latency < SPILL_RELATIVE_LATENCY * factor
         {
             return Some(found);
         }
--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -22,7 +22,7 @@
 use crate::payload::Payload;
 use crate::request::{Call, GateRequest};
 use crate::retry::may_retry;
-use crate::selection::{Next, Selection};
+use crate::selection::{Next, Selection, Wait};
 use crate::statements::Notices;
 use crate::upstream_tracker::{Site, UpstreamTracker};
 use crate::{Metrics, Outcome, Refusal, RefusalKind, choose};
@@ -98,6 +98,15 @@
     may_have_run: bool,
 }
 
+impl Progress {
+    fn new(large_response: bool) -> Self {
+        Self {
+            selection: Selection::new(large_response),
+            ..Self::default()
+        }
+    }
+}
+
 impl Dispatcher {
     /// Returns a dispatcher for calls from `origin`.
     pub(crate) fn new(origin: Origin, metrics: Metrics, log: Logger) -> Self {
@@ -136,7 +145,7 @@
             self.budgets.resize(&pool.service, capacity);
         }
         self.budgets.earn(&pool.service);
-        let mut progress = Progress::default();
+        let mut progress = Progress::new(call.route.route.rules.large_response);
         let mut last: Option<Refusal> = None;
         while let Some((upstream, wait)) = self.next_upstream(pool, &progress.selection) {
             if progress.arrivals > 0 && !self.budgets.spend(&pool.service) {
@@ -156,7 +165,7 @@
             if payload.exceeded_limit() {
                 return Err(body_too_large(call, refusal.outcome, progress.may_have_run));
             }
-            self.record_refusal(&mut progress, pool, &upstream, &refusal);
+            self.record_refusal(&mut progress, pool, &upstream, wait, &refusal);
             let can_retry = self.can_retry(call, &payload, &refusal, progress.arrivals);
             self.log_refusal(call, &upstream, &progress, &refusal, can_retry);
             last = Some(refusal);
@@ -178,6 +187,7 @@
         progress: &mut Progress,
         pool: &PoolTable,
         upstream: &Upstream,
+        allowed: Wait,
         refusal: &Refusal,
     ) {
         if refusal.reached_upstream() {
@@ -190,7 +200,7 @@
         match refusal.kind {
             RefusalKind::Overloaded => {
                 let wait = refusal.retry_delay.unwrap_or(DEFAULT_WAIT);
-                progress.selection.record_full(vm, wait);
+                progress.selection.record_full(vm, allowed, wait);
             }
             _ => progress.selection.exclude(vm),
         }
@@ -250,7 +260,7 @@
         &self,
         pool: &PoolTable,
         selection: &Selection,
-    ) -> Option<(Arc<Upstream>, bool)> {
+    ) -> Option<(Arc<Upstream>, Wait)> {
         let slow_start = pool.service.slow_start;
         let candidates = self
             .tracker
@@ -275,7 +285,7 @@
         call: &Call,
         pool: &PoolTable,
         upstream: &Arc<Upstream>,
-        wait: bool,
+        wait: Wait,
         payload: &mut Payload,
     ) -> AttemptResult {
         let started = Instant::now();
@@ -317,12 +327,15 @@
         call: &Call,
         pool: &PoolTable,
         upstream: &Arc<Upstream>,
-        wait: bool,
+        wait: Wait,
     ) -> Result<GateRequest, Refusal> {
         let reserve = GateRequest::Reserve { wait };
         let mut request = call.to_gate_request(pool, upstream, &self.origin, &reserve, empty())?;
         self.notices.send(&upstream.vm, request.headers_mut());
-        let timeout = if wait { QUEUE_TIMEOUT } else { PROBE_TIMEOUT };
+        let timeout = match wait {
+            Wait::Fully => QUEUE_TIMEOUT,
+            Wait::Never | Wait::Briefly => PROBE_TIMEOUT,
+        };
         let until = call.deadline.min(Instant::now() + timeout);
         let sent = self.connections.send(upstream.gate, request);
         let received = timeout_at(until, sent).await.unwrap_or_else(|_| {
@@ -414,7 +427,9 @@
         Ok(response) if response.status().is_server_error() => CallResult::Failure,
         Ok(_) => CallResult::Success(started.elapsed()),
         Err(refusal) => match refusal.kind {
-            RefusalKind::Overloaded => CallResult::Full,
+            RefusalKind::Overloaded => {
+                CallResult::Full(refusal.retry_delay.unwrap_or(DEFAULT_WAIT))
+            }
             RefusalKind::Leaving => CallResult::Leaving,
             RefusalKind::Deadline
             | RefusalKind::Unreachable
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -22,15 +22,16 @@
 use crate::dialect::{Dialect, ResponseCheck};
 use crate::forward::{deadline, for_upstream, reservation, route};
 use crate::header::{
-    BODY, FLEET_KEY, KEY, NO_WAIT, NOTICE, OBJECTIVE, RESERVATION, RESERVE, SERVICE, number,
+    BODY, FLEET_KEY, KEY, NOTICE, OBJECTIVE, RESERVATION, RESERVE, SERVICE, number,
     remove_hop_by_hop, remove_internal,
 };
 use crate::keys::{Claim, KeyStatus, Keys, Registration};
 use crate::limit::Reply;
 use crate::payload::SMALL_LIMIT;
 use crate::queue::ShedReason;
-use crate::request::priority;
+use crate::request::{priority, wait};
 use crate::reserve::{ReservationId, Reservations};
+use crate::selection::Wait;
 use crate::serve::{Server, ServerError};
 use crate::uplink::Uplink;
 use crate::{Metrics, Outcome, Refusal, RefusalKind};
@@ -309,8 +310,9 @@
             priority: priority(headers),
             deadline,
             objective: objective.map(|left| Instant::now() + left),
+            brief: wait(headers) == Wait::Briefly,
         };
-        if headers.contains_key(NO_WAIT) {
+        if wait(headers) == Wait::Never {
             // Not logged: without a free slot here, the ingress queries another gate.
             let slot = self.admission.try_enter(&call).map_err(to_refusal)?;
             return Ok((self.running(slot), announced));
@@ -322,7 +324,10 @@
             tokio::select! {
                 biased;
                 slot = &mut entered => break slot.map_err(|refused| {
-                    self.log_refused(headers, &call, &refused);
+                    // The ingress asks another gate if the call was to queue here only briefly.
+                    if !call.brief {
+                        self.log_refused(headers, &call, &refused);
+                    }
                     to_refusal(refused)
                 })?,
                 // A draining upstream accepts none of the queued calls.
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -42,9 +42,13 @@
 /// Time left until the call misses its latency objective, in milliseconds.
 pub(crate) const OBJECTIVE: HeaderName = HeaderName::from_static("sardinestall-aim-ms");
 
-/// Set on an attempt that is refused at once if it would have to queue for a slot.
+/// Set on an attempt that is refused at once if it would have to queue for a slot; `brief` on one that may
+/// join a short queue.
 pub(crate) const NO_WAIT: HeaderName = HeaderName::from_static("sardinestall-no-wait");
 
+/// Value of [`NO_WAIT`] for an attempt that may join a short queue.
+pub(crate) const BRIEF: &str = "brief";
+
 /// Requests a slot reservation for the call that follows.
 pub(crate) const RESERVE: HeaderName = HeaderName::from_static("sardinestall-reserve");
 
--- a/crates/call/src/health.rs
+++ b/crates/call/src/health.rs
@@ -43,6 +43,9 @@
 /// Successful trial calls after which an ejected upstream is reinstated.
 const MIN_GOOD_TRIALS: u32 = 3;
 
+/// Maximum time for which a gate that refused a call counts as full.
+const MAX_FULL_TIME: Duration = Duration::from_millis(250);
+
 /// Time for which a reported load is considered current.
 const LOAD_TTL: Duration = Duration::from_millis(500);
 
@@ -59,8 +62,8 @@
     Success(Duration),
     /// An error of the upstream or of the connection to it.
     Failure,
-    /// The gate had no free slot.
-    Full,
+    /// The gate had no free slot, and expects this queueing time.
+    Full(Duration),
     /// The gate reported that the upstream is leaving.
     Leaving,
 }
@@ -109,6 +112,8 @@
     relative_latency: f64,
     load: f64,
     load_until: Instant,
+    /// When a slot may be free again at the gate that last refused a call.
+    full_until: Instant,
     leaving_until: Instant,
     ejection: Option<Ejection>,
     /// Number of ejections; reset by the success of every 1,000th call since the last reinstatement.
@@ -128,6 +133,7 @@
             relative_latency: 1.0,
             load: 0.0,
             load_until: now,
+            full_until: now,
             leaving_until: now,
             ejection: None,
             ejections: 0,
@@ -138,7 +144,10 @@
     /// Records the result of a call.
     pub fn observe(&mut self, result: CallResult, now: Instant) {
         match result {
-            CallResult::Full => self.set_load(1.0, now),
+            CallResult::Full(wait) => {
+                self.set_load(1.0, now);
+                self.full_until = now + wait.min(MAX_FULL_TIME);
+            }
             CallResult::Leaving => self.leaving_until = now + DEPARTURE_PAUSE,
             CallResult::Success(latency) => {
                 self.update_failure_rate(0.0);
@@ -185,6 +194,11 @@
         }
     }
 
+    /// Returns the queueing time that is left of the one that the gate expected when it refused a call.
+    pub fn wait(&self, now: Instant) -> Duration {
+        self.full_until.saturating_duration_since(now)
+    }
+
     /// Returns the mean latency in seconds, once there are enough calls.
     pub fn latency(&self) -> Option<f64> {
         (self.samples >= MIN_SAMPLES && self.latency > 0.0).then_some(self.latency)
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod limit;
 mod metrics;
 mod outcome;
+pub mod overload;
 pub mod pace;
 mod payload;
 mod pipeline;
--- a/crates/call/src/queue.rs
+++ b/crates/call/src/queue.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::limit::{Limit, Sample};
+use crate::overload::Overload;
 use crate::pace::Pacer;
 
 /// Queue length per slot, for calls without a latency objective.
@@ -59,6 +60,8 @@
     pub boost: Duration,
     /// Whether a response by the deadline matters more than one by the objective.
     pub prefers_deadline: bool,
+    /// Whether the call may only join a short queue, because another upstream may have a free slot.
+    pub brief: bool,
 }
 
 /// Admission order of a call: highest priority first, then the earliest objective or, without one, the
@@ -133,6 +136,7 @@
 pub struct Queue<W> {
     limit: Limit,
     pacer: Pacer,
+    overload: Overload,
     running: u32,
     waiting: BTreeMap<Rank, Waiting<W>>,
     sequence: u64,
@@ -148,6 +152,7 @@
         Self {
             limit: Limit::new(slots),
             pacer: Pacer::new(now),
+            overload: Overload::default(),
             running: 0,
             waiting: BTreeMap::new(),
             sequence: 0,
@@ -211,6 +216,17 @@
         if self.try_enter(now) {
             return Decision::Run;
         }
+        let decision = self.queue_or_shed(params, waiter, now);
+        match decision {
+            Decision::Shed(_) if params.brief => {}
+            Decision::Shed(_) => self.overload.record_refusal(now),
+            _ => self.overload.record_queue(false, now),
+        }
+        decision
+    }
+
+    /// Queues or sheds a call for which no slot is free.
+    fn queue_or_shed(&mut self, params: SchedulingParams, waiter: W, now: Instant) -> Decision<W> {
         self.sequence += 1;
         let rank = self.rank(&params);
         let wait = self.expected_wait(&params, now);
@@ -268,8 +284,9 @@
     }
 
     /// Removes a call from the queue if it is still queued.
-    pub fn cancel(&mut self, rank: Rank) {
+    pub fn cancel(&mut self, rank: Rank, now: Instant) {
         self.waiting.remove(&rank);
+        self.overload.record_queue(self.waiting.is_empty(), now);
     }
 
     /// Updates the concurrency limit from a completed call.
@@ -309,6 +326,7 @@
                 released.admitted.push(waiting.waiter);
             }
         }
+        self.overload.record_queue(self.waiting.is_empty(), now);
         released
     }
 
@@ -332,6 +350,15 @@
 
     /// Returns the maximum queueing time of a call that arrives now.
     fn max_queueing(&self, params: &SchedulingParams, now: Instant) -> Duration {
+        let bound = self.queueing_bound(params, now);
+        match params.brief {
+            true => bound.min(self.sustained_wait(self.service_time(params))),
+            false => bound,
+        }
+    }
+
+    /// Returns the maximum queueing time of a call that has nowhere else to go.
+    fn queueing_bound(&self, params: &SchedulingParams, now: Instant) -> Duration {
         let Some(objective) = params.objective else {
             let full = self.limit.latency() * QUEUE_PER_SLOT;
             return full.mul_f64(MAX_QUEUEING_RATIO).max(MIN_QUEUEING_LIMIT);
@@ -344,12 +371,24 @@
                 .mul_f64(DEADLINE_WAIT_SHARE);
         }
         let left = objective.saturating_duration_since(now);
-        let spare = left.saturating_sub(service_time.mul_f64(SERVICE_TIME_MARGIN));
+        let mut spare = left.saturating_sub(service_time.mul_f64(SERVICE_TIME_MARGIN));
+        if self.overload.is_sustained(now) {
+            spare = spare.min(self.sustained_wait(service_time));
+        }
         spare
             .max(service_time.mul_f64(MIN_WAIT_SHARE))
             .max(MIN_QUEUEING_LIMIT)
     }
 
+    /// Returns the maximum queueing time in a sustained overload.
+    ///
+    /// A queue of the square root of the slots covers the random variation of completions, so that no slot
+    /// stays empty; a longer one only delays the calls in it.
+    fn sustained_wait(&self, service_time: Duration) -> Duration {
+        let slots = f64::from(self.limit.get().max(1));
+        self.limit.latency().max(service_time).div_f64(slots.sqrt())
+    }
+
     /// Estimates the queueing time of a call behind `before` others.
     ///
     /// The mean latency does not show that an upstream has become slow until some calls complete. The time
@@ -363,6 +402,6 @@
             now.saturating_duration_since(last_end.max(self.last_start))
         });
         let paced = self.pacer.wait(before, now);
-        usual.max(stall * (before + 1)).max(paced)
+        (usual + stall).max(paced)
     }
 }
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -15,10 +15,11 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Origin;
 use crate::header::{
-    BODY, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, OBJECTIVE, PRIORITY, RESERVATION,
-    RESERVE, ROUTE, SERVICE, number, remove_hop_by_hop, remove_internal,
+    BODY, BRIEF, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, OBJECTIVE, PRIORITY,
+    RESERVATION, RESERVE, ROUTE, SERVICE, number, remove_hop_by_hop, remove_internal,
 };
 use crate::retry::is_idempotent;
+use crate::selection::Wait;
 use crate::{Refusal, RefusalKind};
 
 /// Longest idempotency key that a caller may send, in bytes.
@@ -29,13 +30,13 @@
 pub(crate) enum GateRequest {
     /// Forwards the call to the upstream.
     Call {
-        /// Whether the call may queue for a slot.
-        wait: bool,
+        /// How long the call may queue for a slot.
+        wait: Wait,
     },
     /// Reserves a slot for the call.
     Reserve {
-        /// Whether the reservation may queue for a slot.
-        wait: bool,
+        /// How long the reservation may queue for a slot.
+        wait: Wait,
     },
     /// Forwards the call in the slot that is reserved for it.
     Redeem(HeaderValue),
@@ -207,13 +208,18 @@
         }
         let flag = HeaderValue::from_static("1");
         match kind {
-            GateRequest::Call { wait } | GateRequest::Reserve { wait } if !wait => {
-                headers.insert(NO_WAIT, flag.clone());
-            }
+            GateRequest::Call { wait } | GateRequest::Reserve { wait } => match wait {
+                Wait::Never => {
+                    headers.insert(NO_WAIT, flag.clone());
+                }
+                Wait::Briefly => {
+                    headers.insert(NO_WAIT, HeaderValue::from_static(BRIEF));
+                }
+                Wait::Fully => {}
+            },
             GateRequest::Redeem(reservation) => {
                 headers.insert(RESERVATION, reservation.clone());
             }
-            GateRequest::Call { .. } | GateRequest::Reserve { .. } => {}
         }
         if matches!(kind, GateRequest::Reserve { .. }) {
             if let Some(size) = headers.remove(CONTENT_LENGTH) {
@@ -234,6 +240,15 @@
     }
 }
 
+/// Parses how long an attempt of an ingress may queue.
+pub(crate) fn wait(headers: &HeaderMap) -> Wait {
+    match headers.get(NO_WAIT) {
+        None => Wait::Fully,
+        Some(value) if value == BRIEF => Wait::Briefly,
+        Some(_) => Wait::Never,
+    }
+}
+
 /// Parses the priority header of a call from an ingress.
 pub(crate) fn priority(headers: &HeaderMap) -> Priority {
     match headers.get(PRIORITY).map(HeaderValue::as_bytes) {
--- a/crates/call/src/route_stats.rs
+++ b/crates/call/src/route_stats.rs
@@ -26,6 +26,12 @@
 /// Minimum time left until a boosted due time, in multiples of the tightest objective of all routes.
 const TIGHTEST_MARGIN: f64 = 1.2;
 
+/// Number of calls from which a route counts among those that an upstream usually runs.
+const MIN_REGULAR_SAMPLES: u32 = 20;
+
+/// Deadline of nested calls, as a share of the shortest deadline of the calls that make them.
+const NESTED_DEADLINE_SHARE: f64 = 0.6;
+
 /// Boost per unit of admission rate that a route is below its minimum.
 const BOOST_SCALE: Duration = Duration::from_secs(2);
 
@@ -39,6 +45,8 @@
     admission_rate: f64,
     /// Longest time to the objective that a call arrived with: close to the route's configured objective.
     objective: Option<Duration>,
+    /// Longest time to the deadline that a call arrived with.
+    deadline: Duration,
 }
 
 /// Statistics of all routes.
@@ -115,12 +123,32 @@
             .min(objective.saturating_sub(self.tight_limit()))
     }
 
-    /// Returns whether `route` has the tightest objective of several routes. Its calls are most likely
-    /// made by other running calls, for which a response by the deadline matters more than one by the
-    /// objective.
-    pub fn has_tightest_objective(&self, route: &RouteName) -> bool {
-        let objective = self.routes.get(route).and_then(|stats| stats.objective);
-        self.routes.len() > 1 && objective.is_some_and(|objective| objective <= self.tight_limit())
+    /// Records that a call of `route` arrived with `left` until its deadline.
+    pub fn record_deadline(&mut self, route: &RouteName, left: Duration) {
+        let stats = self.stats(route);
+        stats.deadline = stats.deadline.max(left);
+    }
+
+    /// Returns whether the calls of `route` are most likely made by other running calls, for which a
+    /// response by the deadline matters more than one by the objective.
+    ///
+    /// Nested calls expire well before the calls that make them, so theirs is the shortest deadline by far.
+    /// A route whose deadline is merely the shortest is one of callers.
+    pub fn is_nested(&self, route: &RouteName) -> bool {
+        let Some(deadline) = self.routes.get(route).map(|stats| stats.deadline) else {
+            return false;
+        };
+        let regular = |stats: &&Stats| stats.samples >= MIN_REGULAR_SAMPLES;
+        let others = self.routes.iter().filter(|(name, _)| *name != route);
+        let others = others.map(|(_, stats)| stats).filter(regular);
+        let (longer, similar): (Vec<_>, Vec<_>) = others
+            .map(|stats| stats.deadline)
+            .partition(|other| deadline <= other.mul_f64(NESTED_DEADLINE_SHARE));
+        !longer.is_empty()
+            && similar.iter().all(|other| {
+                let (short, long) = (deadline.min(*other), deadline.max(*other));
+                long <= short.mul_f64(TIGHTEST_MARGIN)
+            })
     }
 
     fn tight_limit(&self) -> Duration {
@@ -137,6 +165,7 @@
             service_time: 0.0,
             admission_rate: 1.0,
             objective: None,
+            deadline: Duration::ZERO,
         })
     }
 }
--- a/crates/call/src/upstream_tracker.rs
+++ b/crates/call/src/upstream_tracker.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use model::{DomainName, Millis, RegionName, RouteName, lock};
 use table::Upstream;
@@ -63,6 +64,7 @@
                 availability: health
                     .map_or(Availability::Available, |health| health.availability(now)),
                 attempted: false,
+                wait: health.map_or(Duration::ZERO, |health| health.wait(now)),
             }
         };
         upstreams.iter().map(describe).collect()
@@ -108,7 +110,7 @@
         if let Some(percent) = load {
             health.set_load(percent as f64 / 100.0, now);
         }
-        if health.is_ejected() || matches!(result, CallResult::Full | CallResult::Leaving) {
+        if health.is_ejected() || matches!(result, CallResult::Full(_) | CallResult::Leaving) {
             return None;
         }
         let peers = || pool.iter().filter_map(|peer| healths.get(&peer.gate));
--- a/crates/call/tests/pace.rs
+++ b/crates/call/tests/pace.rs
@@ -72,6 +72,7 @@
         service_time: Some(millis(100)),
         boost: Duration::ZERO,
         prefers_deadline: false,
+        brief: false,
     };
     let wait = queue.expected_wait(&params, now);
     assert!(matches!(queue.enter(params, 1, now), Decision::Wait { .. }));
--- a/crates/loads/src/simulation.rs
+++ b/crates/loads/src/simulation.rs
@@ -4,12 +4,12 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use call::choose::{self, Candidate, Distance};
-use call::health::{Availability, Health};
+use call::choose::{self, Candidate, Distance, Preference};
+use call::health::{Availability, CallResult, Health};
 use call::limit::{Reply, Sample};
 use call::queue::{Decision, Queue, Rank, SchedulingParams};
 use call::route_stats::RouteStats;
-use call::selection::{Next, Selection};
+use call::selection::{Next, Selection, Wait};
 use model::{RouteName, VmId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -167,12 +167,14 @@
             let Next::Attempt { index, wait } = next else {
                 break;
             };
-            let wait = wait || !self.policy.asks;
+            let wait = if self.policy.asks { wait } else { Wait::Fully };
             selection.record_attempt(wait);
             match self.request_slot(index, call, wait) {
                 Ok(()) => return,
                 Err(expected) => {
-                    selection.record_full(self.gates[index].vm.clone(), expected);
+                    let now = self.instant(self.now);
+                    self.healths[index].observe(CallResult::Full(expected), now);
+                    selection.record_full(self.gates[index].vm.clone(), wait, expected);
                     pause = pause.min(Some(expected)).or(Some(expected));
                 }
             }
@@ -201,22 +203,31 @@
                 },
                 availability: Availability::Available,
                 attempted: false,
+                wait: if self.policy.asks {
+                    health.wait(now)
+                } else {
+                    Duration::ZERO
+                },
             })
             .collect();
         if self.policy.asks {
             return selection.next(&vms, &candidates, &mut self.rng);
         }
-        let found = choose::upstream(&candidates, &mut self.rng);
-        found.map_or(Next::Stop, |index| Next::Attempt { index, wait: true })
+        let found = choose::upstream(&candidates, Preference::default(), &mut self.rng);
+        found.map_or(Next::Stop, |index| Next::Attempt {
+            index,
+            wait: Wait::Fully,
+        })
     }
 
     /// Requests a slot at a gate; a refusal returns the expected queueing time.
-    fn request_slot(&mut self, index: usize, call: usize, wait: bool) -> Result<(), Duration> {
+    fn request_slot(&mut self, index: usize, call: usize, wait: Wait) -> Result<(), Duration> {
         let now = self.instant(self.now);
-        let params = self.params(index, call);
+        let mut params = self.params(index, call);
+        params.brief = wait == Wait::Briefly;
         let route = self.routes[self.calls[call].kind].clone();
         let gate = &mut self.gates[index];
-        if !wait {
+        if wait == Wait::Never {
             if !gate.queue.try_enter(now) {
                 return Err(gate.queue.expected_wait(&params, now));
             }
@@ -230,7 +241,9 @@
                 self.run(index, call);
             }
             Decision::Shed(_) => {
-                gate.route_stats.record_decision(&route, false);
+                if !params.brief {
+                    gate.route_stats.record_decision(&route, false);
+                }
                 return Err(gate.queue.expected_wait(&params, now));
             }
             Decision::Wait { rank, until, shed } => {
@@ -268,6 +281,7 @@
                 Duration::ZERO
             },
             prefers_deadline: false,
+            brief: false,
         }
     }
 
@@ -323,7 +337,8 @@
 
     fn time_out(&mut self, index: usize, call: usize) {
         if let Some(rank) = self.gates[index].ranks.get(&call).copied() {
-            self.gates[index].queue.cancel(rank);
+            let now = self.instant(self.now);
+            self.gates[index].queue.cancel(rank, now);
             self.drop_waiting(index, call);
         }
     }
