Try another upstream where one has fallen silent

Callers waited until their deadline for upstreams that never answered: full ones that cannot queue a call, connections that had died without a reset, VMs without power. Such a call ended with 504, although others could have answered it.

A call that may run more than once is now also sent to another upstream, once it has had no answer for four times the usual latency of its route and its objective has passed, if enough time is left, its attempts are not used up and the retry budget allows it. The first attempt goes on, and the first answer counts, so that an upstream that is only slow loses nothing. The second attempt takes a free slot or none. A call that may run once is never sent twice, and is not said not to have run.

Ruled out: shorter pings between daemons, which would cut the calls that run once from VMs that are only slow; a second attempt before the objective, which one call in six would make.

idempotent_call_at_a_silent_upstream_is_answered_by_another fails without the second attempt (504 after 10 s); silent_upstream_is_told_from_a_slow_one _before_the_deadline holds the decision.

--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatches a call: attempts one upstream after another.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use table::{PoolTable, Upstream};
 use tokio::time::{Instant, timeout_at};
 
+use crate::backup::{self, Timing};
 use crate::body::{Body, GuardedBody, boxed, empty};
 use crate::bounds::timed;
 use crate::budget::{self, Budgets};
@@ -153,7 +155,7 @@
             }
             progress.selection.record_attempt(wait);
             let result = self
-                .attempt(call, pool, &upstream, wait, &mut payload)
+                .attempt_with_backup(call, pool, (&upstream, wait), &mut payload, &mut progress)
                 .await;
             let refusal = match result {
                 Ok(response) => {
@@ -275,6 +277,84 @@
         Some((upstream, wait))
     }
 
+    /// Makes an attempt at `target`, and one at another upstream if that one is silent; returns the first
+    /// response. Only a call that may run more than once has a second attempt.
+    async fn attempt_with_backup(
+        &self,
+        call: &Call,
+        pool: &PoolTable,
+        (upstream, wait): (&Arc<Upstream>, Wait),
+        payload: &mut Payload,
+        progress: &mut Progress,
+    ) -> AttemptResult {
+        let timing = Timing {
+            sent: Instant::now(),
+            objective: call.objective,
+            deadline: call.deadline,
+            usual: self.tracker.usual_latency(&call.route.route.name),
+        };
+        let copy = payload.copy().filter(|_| call.idempotent);
+        let due = backup::due(&timing);
+        let first = self.attempt(call, pool, upstream, wait, payload);
+        let (Some(due), Some(mut copy)) = (due, copy) else {
+            return first.await;
+        };
+        let mut first = pin!(first);
+        if let Ok(result) = timeout_at(due, &mut first).await {
+            return result;
+        }
+        let Some(other) = self.backup_for(call, pool, upstream, progress) else {
+            return first.await;
+        };
+        info!(self.log, "upstream silent, another tried"; "request" => call.id(),
+            "route" => call.route_name(), "upstream" => %upstream.vm, "other" => %other.vm,
+            "took_ms" => call.elapsed_ms(), "time_left_ms" => call.time_left_ms());
+        let second = self.attempt(call, pool, &other, Wait::Never, &mut copy);
+        let mut second = pin!(second);
+        let refusal = tokio::select! {
+            result = &mut first => match result {
+                Ok(response) => return Ok(response),
+                Err(_) => return second.await,
+            },
+            result = &mut second => match result {
+                Ok(response) => {
+                    let unanswered = CallResult::Unanswered(timing.sent.elapsed());
+                    let route = &call.route.route.name;
+                    self.tracker.observe(&pool.upstreams, upstream, route, unanswered, None);
+                    return Ok(response);
+                }
+                Err(refusal) => refusal,
+            },
+        };
+        self.record_refusal(progress, pool, &other, Wait::Never, &refusal);
+        first.await
+    }
+
+    /// Returns the upstream for a second attempt of a call whose first has got no answer from `silent`, if
+    /// the route's rules and the retry budget allow one.
+    fn backup_for(
+        &self,
+        call: &Call,
+        pool: &PoolTable,
+        silent: &Upstream,
+        progress: &mut Progress,
+    ) -> Option<Arc<Upstream>> {
+        // The silent attempt counts as one that reached its upstream.
+        if progress.arrivals >= call.route.route.rules.retries {
+            return None;
+        }
+        let mut selection = progress.selection.clone();
+        selection.exclude(silent.vm.clone());
+        let (other, _) = self.next_upstream(pool, &selection)?;
+        if !self.budgets.spend(&pool.service) {
+            return None;
+        }
+        progress.arrivals += 1;
+        progress.may_have_run = true;
+        progress.selection.record_attempt(Wait::Never);
+        Some(other)
+    }
+
     /// Makes one attempt at `upstream` and records its result in the upstream's health.
     ///
     /// A call that may run only once, or that has a large body, reserves a slot first. An attempt that
--- a/crates/call/src/health.rs
+++ b/crates/call/src/health.rs
@@ -62,6 +62,8 @@
     Success(Duration),
     /// An error of the upstream or of the connection to it.
     Failure,
+    /// Another upstream answered first, after this time without an answer.
+    Unanswered(Duration),
     /// The gate had no free slot, and expects this queueing time.
     Full(Duration),
     /// The gate reported that the upstream is leaving.
@@ -148,6 +150,8 @@
                 self.set_load(1.0, now);
                 self.full_until = now + wait.min(MAX_FULL_TIME);
             }
+            // A slow upstream counts as one; a silent connection is closed by its pings.
+            CallResult::Unanswered(_) => {}
             CallResult::Leaving => self.leaving_until = now + DEPARTURE_PAUSE,
             CallResult::Success(latency) => {
                 self.update_failure_rate(0.0);
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backend;
+pub mod backup;
 mod body;
 mod bounds;
 pub mod budget;
--- a/crates/call/src/payload.rs
+++ b/crates/call/src/payload.rs
@@ -63,6 +63,14 @@
         matches!(self, Self::Buffered(_))
     }
 
+    /// Returns the same payload for another attempt, or `None` if it can be sent only once.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        match self {
+            Self::Buffered(bytes) => Some(Self::Buffered(bytes.clone())),
+            Self::Streamed(..) => None,
+        }
+    }
+
     /// Returns the body for one attempt, or `None` if it was sent and cannot be sent again.
     pub(crate) fn take(&mut self) -> Option<Body> {
         match self {
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -54,7 +54,7 @@
     /// Deadline of the call.
     pub(crate) deadline: Instant,
     /// Time by which the response meets the route's latency objective, if it has one.
-    objective: Option<Instant>,
+    pub(crate) objective: Option<Instant>,
     /// Whether the call may run more than once.
     pub(crate) idempotent: bool,
     /// Number of live daemons that share the fleet's retry allowance.
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -56,7 +56,7 @@
 /// response. It therefore queries several gates for a free slot and, if none has one, queues at the gate
 /// with the shortest expected wait. Gates that are known to be full are not queried, so that an overload
 /// does not multiply the requests, and a near gate goes before one that is only little better.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Selection {
     /// Whether the response is large.
     large: bool,
--- a/crates/call/src/upstream_tracker.rs
+++ b/crates/call/src/upstream_tracker.rs
@@ -70,6 +70,11 @@
         upstreams.iter().map(describe).collect()
     }
 
+    /// Returns the mean latency of `route` over all upstreams, once there are enough calls.
+    pub(crate) fn usual_latency(&self, route: &RouteName) -> Option<Duration> {
+        self.lock().route_stats.service_time(route)
+    }
+
     /// Records that a call is sent to `upstream`.
     pub(crate) fn record_call(&self, upstream: &Upstream) {
         let now = Instant::now();
@@ -101,10 +106,12 @@
         let healths = &mut state.healths;
         let health = healths.get_mut(&upstream.gate)?;
         health.observe(result, now);
+        if let CallResult::Success(latency) | CallResult::Unanswered(latency) = result
+            && let Some(usual) = state.route_stats.service_time(route)
+        {
+            health.observe_relative_latency(latency, usual);
+        }
         if let CallResult::Success(latency) = result {
-            if let Some(usual) = state.route_stats.service_time(route) {
-                health.observe_relative_latency(latency, usual);
-            }
             state.route_stats.observe(route, latency);
         }
         if let Some(percent) = load {
--- a/crates/call/tests/outcomes.rs
+++ b/crates/call/tests/outcomes.rs
@@ -399,3 +399,46 @@
     assert_eq!(call(ingress, "GET", "/small", "").await.status, 200);
     drop(idle);
 }
+
+/// An upstream that is full may never answer, nor any later call on that connection.
+#[tokio::test]
+async fn idempotent_call_at_a_silent_upstream_is_answered_by_another() {
+    let (silent, other) = (Count::default(), Count::default());
+    let fall_silent = async |State(silent): State<Count>| {
+        // The first calls make the usual latency known.
+        if silent.fetch_add(1, Ordering::SeqCst) >= 20 {
+            std::future::pending::<()>().await;
+        }
+    };
+    let upstream = Router::new()
+        .fallback(fall_silent)
+        .with_state(Arc::clone(&silent));
+    let nodes = [
+        Node::start("a-1", "proofdesk", 12, serve(upstream).await).await,
+        Node::start("a-2", "proofdesk", 12, serve_echo(&other).await).await,
+    ];
+    join(&nodes);
+    let once = Rules {
+        idempotent: Some(false),
+        timeout: Millis::new(500),
+        ..Rules::default()
+    };
+    nodes[0].install(&[
+        ("/", "proofdesk", Rules::default()),
+        ("/once", "proofdesk", once),
+    ]);
+    let ingress = nodes[0].ingress.address();
+    while silent.load(Ordering::SeqCst) < 23 {
+        let response = call(ingress, "GET", "/", "").await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    // A call that runs once is not sent to a second upstream, and is not said not to have run.
+    let before = silent.load(Ordering::SeqCst);
+    let mut unknown = 0;
+    while unknown == 0 {
+        let response = call(ingress, "POST", "/once", "").await;
+        unknown += usize::from(response.outcome() == Some("unknown"));
+        assert_ne!(response.outcome(), Some("not-run"));
+    }
+    assert_eq!(silent.load(Ordering::SeqCst) - before, unknown);
+}
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use call::backup::{self, Timing};
 use call::budget::{Budget, share};
 use call::choose::{self, Candidate, Distance, Preference};
 use call::health::{Availability, CallResult, Health, may_eject};
@@ -748,3 +749,33 @@
     let mut wide = Uplink::new(None, now);
     assert!((0..1_000).all(|_| wide.admit(body, now).is_ok()));
 }
+
+/// Calls at an upstream that never answers what it cannot queue waited until their deadline.
+#[test]
+fn silent_upstream_is_told_from_a_slow_one_before_the_deadline() {
+    let sent = Instant::now();
+    let timing = Timing {
+        sent,
+        objective: Some(sent + millis(300)),
+        deadline: sent + millis(1_000),
+        usual: Some(millis(60)),
+    };
+    // Not before the objective, nor while the route's calls may take as long.
+    assert_eq!(backup::due(&timing), Some(sent + millis(300)));
+    let slower = Timing {
+        usual: Some(millis(120)),
+        ..timing
+    };
+    assert_eq!(backup::due(&slower), Some(sent + millis(480)));
+    // A second attempt that cannot be answered in time is not made.
+    let slow = Timing {
+        usual: Some(millis(190)),
+        ..timing
+    };
+    assert_eq!(backup::due(&slow), None);
+    let unknown = Timing {
+        usual: None,
+        ..timing
+    };
+    assert_eq!(backup::due(&unknown), None);
+}
