Keep the limit up where refusals do not depend on it

Cause: each refusal of an upstream lowers the limit of concurrent calls. A refusal that does not depend on their number lowers it to one, and a tenth of the upstream's slots was used. A refusal of the only call that runs now shows that: the limit returns to the slots, and refusals do not lower it for 4 s. An upstream that runs fewer calls than it announces is not touched: it does not refuse a call that runs alone (limit_converges_to_a_capacity_below_the_announced_slots).

A call that its upstream rejected may come back after 100 ms, not 1 s: no wait is known, and others may have room.

limit_stays_up_if_refusals_do_not_depend_on_it: 1.4 of 16 slots before, over 8 now.

--- a/crates/call/src/dialect.rs
+++ b/crates/call/src/dialect.rs
@@ -104,15 +104,22 @@
     }
 }
 
+/// Delay after which a call that its upstream rejected may be retried. The upstream names none, and others
+/// may have room, so this is about the time of a call.
+const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 impl ResponseCheck {
     /// Returns the refusal that replaces a response that was not accepted.
     pub(crate) fn refusal(self) -> Option<Refusal> {
         match self {
             Self::Accepted => None,
-            Self::Rejected => Some(Refusal::not_run(
-                RefusalKind::Rejected,
-                "the upstream had no room; try again later",
-            )),
+            Self::Rejected => Some(
+                Refusal::not_run(
+                    RefusalKind::Rejected,
+                    "the upstream had no room; try again later",
+                )
+                .with_retry_delay(REJECTED_RETRY_DELAY),
+            ),
             Self::Misdirected => Some(Refusal::not_run(
                 RefusalKind::Misdirected,
                 "another upstream has the address; try again",
--- a/crates/call/src/limit.rs
+++ b/crates/call/src/limit.rs
@@ -22,6 +22,9 @@
 /// Minimum time between two changes of the limit.
 const MIN_ROUND: Duration = Duration::from_millis(50);
 
+/// Time for which refusals do not lower the limit once they have proved not to depend on it.
+const UNRELATED_TIME: Duration = Duration::from_secs(4);
+
 /// Result of a call, as far as it affects the limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Reply {
@@ -45,6 +48,10 @@
 }
 
 /// An adaptive limit between one and the upstream's number of slots.
+///
+/// Designed for upstreams that run fewer calls than they announce. One that refuses a share of its calls
+/// whatever their number is not helped by a lower limit: it refuses a call even if it runs no other, and
+/// the limit then returns to the slots.
 #[derive(Debug)]
 pub struct Limit {
     slots: u32,
@@ -52,6 +59,8 @@
     /// Moving mean of the latency, in seconds.
     mean: Option<f64>,
     changed_at: Option<Instant>,
+    /// Until when refusals do not lower the limit.
+    unrelated_until: Option<Instant>,
 }
 
 impl Limit {
@@ -62,6 +71,7 @@
             limit: f64::from(slots),
             mean: None,
             changed_at: None,
+            unrelated_until: None,
         }
     }
 
@@ -95,6 +105,11 @@
     pub fn observe(&mut self, sample: Sample, now: Instant) {
         let latency = sample.latency.as_secs_f64();
         match sample.reply {
+            Reply::Refused if self.unrelated_until.is_some_and(|until| now < until) => {}
+            Reply::Refused if self.get() == 1 && sample.running == 1 && self.slots > 1 => {
+                self.unrelated_until = Some(now + UNRELATED_TIME);
+                self.limit = f64::from(self.slots);
+            }
             Reply::Refused => self.change(now, |limit| limit * REFUSED_FACTOR),
             Reply::TimedOut => {
                 if self.mean.is_some_and(|mean| latency > mean * TIMEOUT_RATIO) {
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -485,6 +485,26 @@
     assert!(refused < 250, "{refused}");
 }
 
+/// An upstream that refuses half of its calls, however few it runs, was given one call at a time.
+#[test]
+fn limit_stays_up_if_refusals_do_not_depend_on_it() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(16);
+    let mut sum = 0;
+    for i in 0..2_000u32 {
+        now += millis(10);
+        let running = limit.get();
+        sum += running;
+        let reply = match i.wrapping_mul(7_919) % 100 < 55 {
+            true => Reply::Refused,
+            false => Reply::Ran,
+        };
+        limit.observe(sample(100, reply, running), now);
+    }
+    let mean = f64::from(sum) / 2_000.0;
+    assert!(mean > 8.0, "{mean} of 16 slots used in the mean");
+}
+
 #[test]
 fn timeouts_lower_the_limit_but_short_deadlines_do_not() {
     let mut now = Instant::now();
