--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use call::backup::{self, Timing};
 use call::budget::{Budget, share};
 use call::choose::{self, Candidate, Distance, Preference};
 use call::health::{Availability, CallResult, Health, may_eject};
@@ -484,6 +485,26 @@
     assert!(refused < 250, "{refused}");
 }
 
+/// An upstream that refuses half of its calls, however few it runs, was given one call at a time.
+#[test]
+fn limit_stays_up_if_refusals_do_not_depend_on_it() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(16);
+    let mut sum = 0;
+    for i in 0..2_000u32 {
+        now += millis(10);
+        let running = limit.get();
+        sum += running;
+        let reply = match i.wrapping_mul(7_919) % 100 < 55 {
+            true => Reply::Refused,
+            false => Reply::Ran,
+        };
+        limit.observe(sample(100, reply, running), now);
+    }
+    let mean = f64::from(sum) / 2_000.0;
+    assert!(mean > 8.0, "{mean} of 16 slots used in the mean");
+}
+
 #[test]
 fn timeouts_lower_the_limit_but_short_deadlines_do_not() {
     let mut now = Instant::now();
@@ -748,3 +769,33 @@
     let mut wide = Uplink::new(None, now);
     assert!((0..1_000).all(|_| wide.admit(body, now).is_ok()));
 }
+
+/// Calls at an upstream that never answers what it cannot queue waited until their deadline.
+#[test]
+fn silent_upstream_is_told_from_a_slow_one_before_the_deadline() {
+    let sent = Instant::now();
+    let timing = Timing {
+        sent,
+        objective: Some(sent + millis(300)),
+        deadline: sent + millis(1_000),
+        usual: Some(millis(60)),
+    };
+    // Not before the objective, nor while the route's calls may take as long.
+    assert_eq!(backup::due(&timing), Some(sent + millis(300)));
+    let slower = Timing {
+        usual: Some(millis(120)),
+        ..timing
+    };
+    assert_eq!(backup::due(&slower), Some(sent + millis(480)));
+    // A second attempt that cannot be answered in time is not made.
+    let slow = Timing {
+        usual: Some(millis(190)),
+        ..timing
+    };
+    assert_eq!(backup::due(&slow), None);
+    let unknown = Timing {
+        usual: None,
+        ..timing
+    };
+    assert_eq!(backup::due(&unknown), None);
+}
