--- a/crates/harness/src/fault_proxy.rs
+++ b/crates/harness/src/fault_proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
 struct State {
     target: Option<SocketAddr>,
     fault: LinkFault,
+    /// Number of times that the open connections were severed.
+    severed: u32,
 }
 
 /// A TCP proxy to one target address.
@@ -78,6 +81,7 @@
         let state = watch::Sender::new(State {
             target: None,
             fault: LinkFault::None,
+            severed: 0,
         });
         let state = Arc::new(state);
         let mut tasks = JoinSet::new();
@@ -109,6 +113,11 @@
         self.state.send_modify(|state| state.fault = fault);
     }
 
+    /// Withholds the bytes of the connections that are open now, for good and without closing them.
+    pub fn sever(&self) {
+        self.state.send_modify(|state| state.severed += 1);
+    }
+
     /// Removes the fault; withheld bytes are forwarded.
     pub fn restore(&self) {
         self.set_fault(LinkFault::None);
@@ -136,6 +145,7 @@
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
+    let before = state.borrow().severed;
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let (client_read, client_write) = client.into_split();
@@ -151,9 +161,24 @@
             copy(server_read, client_write, state.clone(), Direction::Inbound),
         )
     };
+    let mut both = pin!(both);
+    let mut severs = state.clone();
+    let severed = async {
+        severs
+            .wait_for(|state| state.severed > before)
+            .await
+            .is_ok()
+    };
+    let until_severed = async {
+        tokio::select! {
+            _ = &mut both => {}
+            // The halves stay open in `both`, which nothing polls any more.
+            true = severed => std::future::pending().await,
+        }
+    };
     let mut resets = state.clone();
     tokio::select! {
-        _ = both => {}
+        () = until_severed => {}
         _ = resets.wait_for(|state| state.fault == LinkFault::Reset) => {}
     }
 }
