Admit large responses at the rate of the VM's link

Cause: those upstreams send 90 kB a response over links of 9.8 Mbit/s, seven links for twice what they carry. Every admitted response was sent at once, and the small calls to the same VMs, pings and records waited behind seconds of bodies, or their connections were given up. Request bodies had long been admitted by the rate of the link; responses were not.

The gate keeps the mean size of each route's responses. Where it is over 32 KiB, a call is admitted only while the responses that were admitted before leave 150 ms of backlog at most, on 0.8 of the link; otherwise it is refused at once with the time until then, as not run. Half of the downloads cannot be served there at all: 183 a second of 90 kB are 132 Mbit/s.

large_responses_are_admitted_no_faster_than_the_link_rate holds the rate.

--- a/crates/call/src/admission.rs
+++ b/crates/call/src/admission.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use model::{CallRate, Priority, RouteName, lock};
+use model::{CallRate, Priority, RouteName, Size, lock};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
@@ -159,6 +159,16 @@
 }
 
 impl Admission {
+    /// Records the size of a response of `route`.
+    pub(crate) fn record_response(&self, route: &RouteName, size: Size) {
+        self.lock().route_stats.record_response(route, size);
+    }
+
+    /// Returns the mean size of the responses of `route`, if known.
+    pub(crate) fn response_size(&self, route: &RouteName) -> Option<Size> {
+        self.lock().route_stats.response_size(route)
+    }
+
     /// Returns an admission control without slots.
     pub(crate) fn new() -> Self {
         Self(Arc::new(Mutex::new(State {
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use model::{ConnectionLimits, Rate, RouteName, Secret, Size, lock};
 use prometheus::IntGauge;
@@ -39,6 +40,9 @@
 /// Time after the deadline during which a response of the upstream is still accepted.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 
+/// Mean size of a route's responses above which they are admitted at the rate of the VM's link.
+const LARGE_RESPONSE: Size = Size::new(32 << 10);
+
 /// The gate in front of an upstream.
 #[derive(Debug)]
 pub struct Gate {
@@ -47,7 +51,10 @@
     keys: Keys,
     connections: Arc<Connections>,
     reservations: Reservations<Running>,
+    /// Link of the VM, as loaded by request bodies.
     uplink: Mutex<Uplink>,
+    /// Link of the VM, as loaded by responses.
+    downlink: Mutex<Uplink>,
     /// Whether the last response stated a call limit that cannot be read.
     limit_unreadable: AtomicBool,
     key: Secret,
@@ -94,6 +101,7 @@
             connections: Arc::default(),
             reservations: Reservations::default(),
             uplink: Mutex::new(Uplink::new(link, Instant::now())),
+            downlink: Mutex::new(Uplink::new(link, Instant::now())),
             limit_unreadable: AtomicBool::new(false),
             key,
             dialect,
@@ -182,6 +190,9 @@
         running
             .slot
             .observe(route.as_ref(), started.elapsed(), reply(response.status()));
+        if let Some((route, size)) = route.as_ref().zip(response.body().size_hint().exact()) {
+            self.admission.record_response(route, Size::new(size));
+        }
         remove_hop_by_hop(response.headers_mut());
         remove_internal(response.headers_mut());
         let guards = CallGuards {
@@ -245,6 +256,22 @@
         })
     }
 
+    /// Refuses a call whose response is large while other responses fill the VM's link.
+    fn admit_response(&self, route: Option<&RouteName>) -> Result<(), Refusal> {
+        let size = route.and_then(|route| self.admission.response_size(route));
+        let Some(size) = size.filter(|size| *size > LARGE_RESPONSE) else {
+            return Ok(());
+        };
+        let mut downlink = lock(&self.downlink);
+        downlink
+            .admit(Some(size), Instant::now())
+            .map_err(|retry_delay| {
+                let message =
+                    "the link from the upstream's VM is full of other responses; try again later";
+                Refusal::not_run(RefusalKind::Overloaded, message).with_retry_delay(retry_delay)
+            })
+    }
+
     /// Takes the slot that was reserved for a call.
     fn redeem(
         &self,
@@ -315,6 +342,7 @@
         if wait(headers) == Wait::Never {
             // Not logged: without a free slot here, the ingress queries another gate.
             let slot = self.admission.try_enter(&call).map_err(to_refusal)?;
+            self.admit_response(route)?;
             return Ok((self.running(slot), announced));
         }
         let arrived = Instant::now();
@@ -339,6 +367,7 @@
         self.metrics.observe_stage("waiting", arrived.elapsed());
         let running = self.running(slot);
         let announced = self.check_backend(headers)?;
+        self.admit_response(route)?;
         Ok((running, announced))
     }
 
--- a/crates/call/src/route_stats.rs
+++ b/crates/call/src/route_stats.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::RouteName;
+use model::{RouteName, Size};
 
 /// Maximum number of routes with statistics; beyond it, all are reset.
 const MAX_ROUTES: usize = 512;
@@ -11,6 +11,9 @@
 /// Weight of a new sample in the moving mean of the service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
 
+/// Weight of a new sample in the moving mean of the response's size.
+const RESPONSE_SIZE_WEIGHT: f64 = 0.1;
+
 /// Minimum number of samples for a mean service time.
 const MIN_SAMPLES: u32 = 3;
 
@@ -47,6 +50,8 @@
     objective: Option<Duration>,
     /// Longest time to the deadline that a call arrived with.
     deadline: Duration,
+    /// Moving mean of the response's size, in bytes; 0 before the first response.
+    response_bytes: f64,
 }
 
 /// Statistics of all routes.
@@ -87,6 +92,22 @@
         (stats.samples >= MIN_SAMPLES).then(|| Duration::from_secs_f64(stats.service_time))
     }
 
+    /// Records the size of a response of `route`.
+    pub fn record_response(&mut self, route: &RouteName, size: Size) {
+        let bytes = size.get() as f64;
+        let stats = self.stats(route);
+        stats.response_bytes = match stats.response_bytes {
+            0.0 => bytes,
+            mean => mean + (bytes - mean) * RESPONSE_SIZE_WEIGHT,
+        };
+    }
+
+    /// Returns the mean size of the responses of `route`, once there was one.
+    pub fn response_size(&self, route: &RouteName) -> Option<Size> {
+        let bytes = self.routes.get(route)?.response_bytes;
+        (bytes > 0.0).then_some(Size::new(bytes as u64))
+    }
+
     /// Records whether a call of `route` was admitted.
     pub fn record_decision(&mut self, route: &RouteName, admitted: bool) {
         let value = if admitted { 1.0 } else { 0.0 };
@@ -166,6 +187,7 @@
             admission_rate: 1.0,
             objective: None,
             deadline: Duration::ZERO,
+            response_bytes: 0.0,
         })
     }
 }
--- a/crates/call/src/uplink.rs
+++ b/crates/call/src/uplink.rs
@@ -16,8 +16,8 @@
 
 /// The network link of a VM, as loaded by the bodies admitted to it.
 ///
-/// Designed for a narrow link that a few uploads fill: without a bound, small calls to the same upstream,
-/// and the running calls that wait for them, would queue behind bodies for seconds.
+/// Designed for a narrow link that a few uploads or downloads fill: without a bound, small calls to the same
+/// upstream, and the running calls that wait for them, would queue behind bodies for seconds.
 #[derive(Debug)]
 pub struct Uplink {
     rate: Option<Rate>,
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -799,3 +799,24 @@
     };
     assert_eq!(backup::due(&unknown), None);
 }
+
+/// Downloads filled the narrow links of their upstreams, and small calls to the same VMs were lost behind them.
+#[test]
+fn large_responses_are_admitted_no_faster_than_the_link_rate() {
+    let route: RouteName = "plates".parse().expect("a valid name");
+    let mut route_stats = RouteStats::default();
+    assert_eq!(route_stats.response_size(&route), None);
+    for _ in 0..50 {
+        route_stats.record_response(&route, Size::new(90_000));
+    }
+    let size = route_stats.response_size(&route).expect("a mean");
+    assert_eq!(size, Size::new(90_000));
+    // A link of 9.8 Mbit/s sends 13.6 of them a second, and twice as many arrive.
+    let start = Instant::now();
+    let rate = "9.8Mbit".parse().expect("a rate");
+    let mut link = Uplink::new(Some(rate), start);
+    let arrivals = (0..270).map(|i| start + millis(37) * i);
+    let admitted = arrivals.filter(|now| link.admit(Some(size), *now).is_ok());
+    let per_second = admitted.count() as f64 / 10.0;
+    assert!((9.0..13.6).contains(&per_second), "{per_second} a second");
+}
