Do not take the delay of a busy VM for a silent upstream

Cause: a call without an objective was sent to a second upstream after four times the usual latency of its route. Calls of 1 ms got a second attempt after 4 ms, which a busy machine takes at any time. Both were calls that may run more than once; one that may run once has no second attempt. An upstream now counts as silent after 250 ms at the earliest.

--- a/crates/call/src/backup.rs
+++ b/crates/call/src/backup.rs
@@ -8,6 +8,9 @@
 /// silent rather than slow. About one call in a hundred takes longer.
 const SILENCE_RATIO: f64 = 4.0;
 
+/// Minimum of that time: delays of busy VMs, which short calls notice most.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
+
 /// Time left until the deadline, in multiples of the route's mean latency, that a second attempt needs.
 const MIN_TIME_LEFT: f64 = 1.5;
 
@@ -32,7 +35,7 @@
 /// A second attempt before the objective would also be made for many calls that are merely slow.
 pub fn due(timing: &Timing) -> Option<Instant> {
     let usual = timing.usual?;
-    let silent = timing.sent + usual.mul_f64(SILENCE_RATIO);
+    let silent = timing.sent + usual.mul_f64(SILENCE_RATIO).max(MIN_SILENCE);
     let due = timing.objective.map_or(silent, |due| due.max(silent));
     let latest = timing.deadline.checked_sub(usual.mul_f64(MIN_TIME_LEFT))?;
     (due < latest).then_some(due)
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -787,6 +787,13 @@
         ..timing
     };
     assert_eq!(backup::due(&slower), Some(sent + millis(480)));
+    // A delay of a busy VM is no silence: short calls without an objective ran twice for one.
+    let short = Timing {
+        usual: Some(millis(1)),
+        objective: None,
+        ..timing
+    };
+    assert_eq!(backup::due(&short), Some(sent + millis(250)));
     // A second attempt that cannot be answered in time is not made.
     let slow = Timing {
         usual: Some(millis(190)),
