Look up the usual latency only for calls that may get a second attempt

Behaviour is unchanged. Each attempt copied its payload and took the lock of the upstream statistics for a second attempt, also for calls that run once and never get one; they now return before that. A doc comment named a parameter that does not exist. The test of waits near and elsewhere repeated the loop of the one beside it and shares it now, with the same assertions.

--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -277,7 +277,7 @@
         Some((upstream, wait))
     }
 
-    /// Makes an attempt at `target`, and one at another upstream if that one is silent; returns the first
+    /// Makes an attempt at `upstream`, and one at another upstream if it is silent; returns the first
     /// response. Only a call that may run more than once has a second attempt.
     async fn attempt_with_backup(
         &self,
@@ -287,16 +287,22 @@
         payload: &mut Payload,
         progress: &mut Progress,
     ) -> AttemptResult {
+        let copy = if call.idempotent {
+            payload.copy()
+        } else {
+            None
+        };
+        let Some(mut copy) = copy else {
+            return self.attempt(call, pool, upstream, wait, payload).await;
+        };
         let timing = Timing {
             sent: Instant::now(),
             objective: call.objective,
             deadline: call.deadline,
             usual: self.tracker.usual_latency(&call.route.route.name),
         };
-        let copy = payload.copy().filter(|_| call.idempotent);
-        let due = backup::due(&timing);
         let first = self.attempt(call, pool, upstream, wait, payload);
-        let (Some(due), Some(mut copy)) = (due, copy) else {
+        let Some(due) = backup::due(&timing) else {
             return first.await;
         };
         let mut first = pin!(first);
--- a/crates/call/tests/plan.rs
+++ b/crates/call/tests/plan.rs
@@ -30,13 +30,17 @@
 /// Simulates a call whose gates are all full and expect waits of `waits` milliseconds. Returns the
 /// attempts, each with how long it may queue.
 fn simulate(waits: &[u64]) -> Vec<(usize, Wait)> {
+    simulate_at(&vec![candidate(); waits.len()], waits)
+}
+
+/// Does the same as [`simulate`] with these candidates.
+fn simulate_at(candidates: &[Candidate], waits: &[u64]) -> Vec<(usize, Wait)> {
     let vms = vms(waits.len());
     let refs: Vec<&VmId> = vms.iter().collect();
-    let candidates = vec![candidate(); waits.len()];
     let mut rng = SmallRng::seed_from_u64(7);
     let mut selection = Selection::default();
     let mut attempts = Vec::new();
-    while let Next::Attempt { index, wait } = selection.next(&refs, &candidates, &mut rng) {
+    while let Next::Attempt { index, wait } = selection.next(&refs, candidates, &mut rng) {
         attempts.push((index, wait));
         selection.record_attempt(wait);
         selection.record_full(
@@ -131,17 +135,7 @@
 /// Bytes between failure domains are dear, so a call joins a short queue nearby before it asks elsewhere.
 #[test]
 fn call_may_queue_briefly_nearby_and_not_at_all_elsewhere() {
-    let vms = vms(2);
-    let refs: Vec<&VmId> = vms.iter().collect();
-    let candidates = spread_out(1);
-    let mut rng = SmallRng::seed_from_u64(7);
-    let mut selection = Selection::default();
-    let mut attempts = Vec::new();
-    while let Next::Attempt { index, wait } = selection.next(&refs, &candidates, &mut rng) {
-        attempts.push((index, wait));
-        selection.record_attempt(wait);
-        selection.record_full(vms[index].clone(), wait, Duration::from_millis(40));
-    }
+    let attempts = simulate_at(&spread_out(1), &[40, 40]);
     assert_eq!(attempts[..2], [(0, Wait::Briefly), (1, Wait::Never)]);
     assert_eq!(attempts[2], (0, Wait::Fully));
 }
