Refuse a request under which three upstreams have crashed

Cause: nothing remembered a request from one attempt of its caller to the next. A broken connection was the fault of the upstream alone; the request went to the next one, by the system's own retries and by the caller's. The class: a failure is held against the one that fails, and never against what it was given.

Ruled out: the retries of one call alone, which stay within maxAttempts; upstreams that crash without such a request.

Change: a connection that breaks while nothing listens at the upstream's address any more is a crash. The calls that ran there become suspects; a gate runs one suspect at a time, so that the next crash is attributed to it alone. After three crashes the request (caller's service, method, host, path, query, body) is refused everywhere, at once and not run. Fingerprints and crashes travel in membership records and with each call; a run with a response clears its request. The retry-after is the time until the crashes no longer count: an earlier attempt cannot be served.

--- a/crates/bench/src/spread/fullsize_parent.rs
+++ b/crates/bench/src/spread/fullsize_parent.rs
@@ -180,6 +180,7 @@
         link: None,
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/bench/src/spread/sizes.rs
+++ b/crates/bench/src/spread/sizes.rs
@@ -87,6 +87,7 @@
         link_bits: 0,
         expired: false,
         ended_ms: 0,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -9,7 +9,7 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use model::{Secret, ServiceName};
+use model::{Fingerprint, Secret, ServiceName};
 use slog::{Logger, info};
 use table::{PoolTable, Upstream};
 use tokio::time::{Instant, timeout_at};
@@ -18,16 +18,18 @@
 use crate::body::{Body, GuardedBody, boxed, empty};
 use crate::bounds::timed;
 use crate::budget::{self, Budgets};
+use crate::crashes::Verdict;
 use crate::gate_connections::GateConnections;
 use crate::header::{LOAD, RESERVATION, number};
 use crate::health::CallResult;
 use crate::payload::Payload;
+use crate::quarantine;
 use crate::request::{Call, GateRequest};
 use crate::retry::may_retry;
 use crate::selection::{Next, Selection, Wait};
 use crate::statements::Notices;
 use crate::upstream_tracker::{Site, UpstreamTracker};
-use crate::{Metrics, Outcome, Refusal, RefusalKind, choose};
+use crate::{Crashes, Metrics, Outcome, Refusal, RefusalKind, choose};
 
 /// Time after the deadline during which the gate's response or refusal is still awaited.
 const RESPONSE_GRACE: Duration = Duration::from_millis(200);
@@ -86,6 +88,7 @@
     tracker: UpstreamTracker,
     budgets: Budgets,
     notices: Notices,
+    crashes: Arc<Crashes>,
     metrics: Metrics,
     log: Logger,
 }
@@ -111,13 +114,19 @@
 
 impl Dispatcher {
     /// Returns a dispatcher for calls from `origin`.
-    pub(crate) fn new(origin: Origin, metrics: Metrics, log: Logger) -> Self {
+    pub(crate) fn new(
+        origin: Origin,
+        crashes: Arc<Crashes>,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Self {
         Self {
             origin,
             connections: GateConnections::default(),
             tracker: UpstreamTracker::default(),
             budgets: Budgets::default(),
             notices: Notices::default(),
+            crashes,
             metrics,
             log,
         }
@@ -128,9 +137,20 @@
         self.origin.retry_slack.is_some()
     }
 
+    /// Returns the fingerprint of a call from this daemon.
+    pub(crate) fn fingerprint(&self, call: &Call, payload: &Payload) -> Fingerprint {
+        call.fingerprint(self.origin.service.as_ref(), payload.content())
+    }
+
+    /// Returns whether upstreams crashed under `request`.
+    pub(crate) fn is_suspect(&self, request: Fingerprint) -> bool {
+        self.crashes.verdict(request) != Verdict::Clear
+    }
+
     /// Selects a pool and attempts its upstreams in turn while the route's rules and the retry budget
     /// allow it.
     pub(crate) async fn send(&self, call: &Call, payload: Payload) -> AttemptResult {
+        quarantine::check(&self.crashes, call.fingerprint)?;
         let index = choose::pool(&call.route, &mut rand::rng());
         let pool = call.snapshot.pool(index);
         let result = self.send_to(call, pool, payload).await;
@@ -255,6 +275,7 @@
         let rules = &call.route.route.rules;
         payload.is_replayable()
             && Instant::now() < call.deadline
+            && quarantine::check(&self.crashes, call.fingerprint).is_ok()
             && may_retry(refusal, call.idempotent, arrivals, rules)
     }
 
@@ -393,6 +414,12 @@
             },
             Err(refusal) => Err(refusal),
         };
+        if let Some(request) = call.fingerprint {
+            match &result {
+                Ok(_) => self.crashes.acquit(request),
+                Err(refusal) => quarantine::learn(&self.crashes, request, refusal),
+            }
+        }
         let observed = call_result(&result, started);
         let route = &call.route.route.name;
         let ejected = self
@@ -418,6 +445,7 @@
         let reserve = GateRequest::Reserve { wait };
         let mut request = call.to_gate_request(pool, upstream, &self.origin, &reserve, empty())?;
         self.notices.send(&upstream.vm, request.headers_mut());
+        quarantine::write(&self.crashes, call.fingerprint, request.headers_mut());
         let timeout = match wait {
             Wait::Fully => QUEUE_TIMEOUT,
             Wait::Never | Wait::Briefly => PROBE_TIMEOUT,
@@ -454,6 +482,7 @@
     ) -> AttemptResult {
         let mut request = call.to_gate_request(pool, upstream, &self.origin, &kind, body)?;
         self.notices.send(&upstream.vm, request.headers_mut());
+        quarantine::write(&self.crashes, call.fingerprint, request.headers_mut());
         let until = call.deadline + RESPONSE_GRACE;
         let in_flight = InFlight::new(Arc::clone(upstream));
         let sent = self.connections.send(upstream.gate, request);
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,5 +1,6 @@
 //! The gate in front of an upstream: admits calls and forwards them to it.
 
+mod crash;
 mod statements;
 
 use std::sync::atomic::AtomicBool;
@@ -9,10 +10,11 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body as _;
 use hyper::body::Incoming;
-use model::{ConnectionLimits, Rate, RouteName, Secret, Size, lock};
+use model::{ConnectionLimits, Fingerprint, Rate, RouteName, Secret, Size, lock};
 use prometheus::IntGauge;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 use crate::admission::{self, Admission, Refused, Slot};
@@ -29,13 +31,15 @@
 use crate::keys::{Claim, KeyStatus, Keys, Registration};
 use crate::limit::Reply;
 use crate::payload::SMALL_LIMIT;
+use crate::quarantine;
 use crate::queue::ShedReason;
 use crate::request::{priority, wait};
 use crate::reserve::{ReservationId, Reservations};
+use crate::running::RunningCalls;
 use crate::selection::Wait;
 use crate::serve::{Server, ServerError};
 use crate::uplink::Uplink;
-use crate::{Metrics, Outcome, Refusal, RefusalKind};
+use crate::{Crashes, Metrics, Outcome, Refusal, RefusalKind};
 
 /// Time after the deadline during which a response of the upstream is still accepted.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
@@ -49,6 +53,10 @@
     backend: Arc<Backend>,
     admission: Admission,
     keys: Keys,
+    crashes: Arc<Crashes>,
+    running_calls: RunningCalls,
+    /// Held by the suspect that the upstream runs, at most one at a time.
+    suspect_turn: Arc<Semaphore>,
     connections: Arc<Connections>,
     reservations: Reservations<Running>,
     /// Link of the VM, as loaded by request bodies.
@@ -73,6 +81,8 @@
 #[derive(Debug)]
 struct Running {
     slot: Slot,
+    /// Held if the call's request is a suspect.
+    _turn: Option<OwnedSemaphorePermit>,
     in_flight: IntGauge,
 }
 
@@ -85,12 +95,14 @@
 impl Gate {
     /// Returns the gate in front of `backend` for the fleet with `key`.
     ///
-    /// Requests to the upstream use `dialect`; large bodies are admitted at the rate of `link`.
+    /// Requests to the upstream use `dialect`; large bodies are admitted at the rate of `link`. Crashes of the upstream are
+    /// recorded in `crashes`.
     pub fn open(
         backend: Arc<Backend>,
         key: Secret,
         link: Option<Rate>,
         dialect: Arc<dyn Dialect>,
+        crashes: Arc<Crashes>,
         metrics: Metrics,
         log: Logger,
     ) -> Arc<Self> {
@@ -98,6 +110,9 @@
             backend,
             admission: Admission::new(),
             keys: Keys::default(),
+            crashes,
+            running_calls: RunningCalls::default(),
+            suspect_turn: Arc::new(Semaphore::new(1)),
             connections: Arc::default(),
             reservations: Reservations::default(),
             uplink: Mutex::new(Uplink::new(link, Instant::now())),
@@ -140,25 +155,30 @@
         self.read_notice(request.headers());
         self.check_backend(request.headers())?;
         let route = route(request.headers());
+        let fingerprint = quarantine::read(&self.crashes, request.headers());
+        quarantine::check(&self.crashes, fingerprint)?;
         if request.headers().contains_key(RESERVE) {
             return self
-                .reserve(request.headers(), route.as_ref(), deadline)
+                .reserve(request.headers(), route.as_ref(), fingerprint, deadline)
                 .await;
         }
         let mut claim = self.claim(request.headers())?;
         let (running, announced) = match reservation(request.headers()) {
             Some(id) => self.redeem(id, request.headers())?,
             None => {
-                self.admit(request.headers(), route.as_ref(), deadline)
+                self.admit(request.headers(), route.as_ref(), fingerprint, deadline)
                     .await?
             }
         };
+        // The request may have crashed another upstream while it waited for a slot.
+        quarantine::check(&self.crashes, fingerprint)?;
         let request = for_upstream(request, &announced, &*self.dialect, deadline);
         let id = request
             .headers()
             .get(self.dialect.request_id_header())
             .cloned();
         set_status(&mut claim, Some(KeyStatus::Unknown));
+        let run = fingerprint.map(|request| self.running_calls.enter(&announced, request));
         let started = Instant::now();
         let until = deadline + RESPONSE_GRACE;
         let max_idle = announced.connections.min(announced.slots) as usize;
@@ -170,6 +190,9 @@
         let (mut response, in_use) = match sent {
             Ok(sent) => sent,
             Err(refusal) => {
+                let refusal = self
+                    .attribute_crash(refusal, &announced, run.as_ref(), id.as_ref())
+                    .await;
                 if refusal.outcome == Outcome::NotRun {
                     set_status(&mut claim, None);
                 }
@@ -186,6 +209,9 @@
             }
         };
         set_status(&mut claim, Some(KeyStatus::Ran));
+        if let Some(request) = fingerprint {
+            self.crashes.acquit(request);
+        }
         self.metrics.observe_stage("upstream", started.elapsed());
         running
             .slot
@@ -231,10 +257,11 @@
         &self,
         headers: &HeaderMap,
         route: Option<&RouteName>,
+        request: Option<Fingerprint>,
         deadline: Instant,
     ) -> Result<Response<Body>, Refusal> {
         self.admit_body(headers)?;
-        let (running, _) = self.admit(headers, route, deadline).await?;
+        let (running, _) = self.admit(headers, route, request, deadline).await?;
         let id = self.reservations.hold(running).to_string();
         let mut response = Response::new(empty());
         if let Ok(id) = HeaderValue::from_str(&id) {
@@ -321,13 +348,15 @@
         self.keys.claim(key.as_bytes()).map(Some).map_err(duplicate)
     }
 
-    /// Waits for a slot while the upstream accepts calls.
+    /// Waits for a slot while the upstream accepts calls, and before that for its turn if `request` is a suspect.
     async fn admit(
         &self,
         headers: &HeaderMap,
         route: Option<&RouteName>,
+        request: Option<Fingerprint>,
         deadline: Instant,
     ) -> Result<(Running, Announcement), Refusal> {
+        let turn = self.suspect_turn(headers, request).await?;
         let mut announced = self.check_backend(headers)?;
         self.admission
             .resize(announced.slots.min(announced.connections));
@@ -343,7 +372,7 @@
             // Not logged: without a free slot here, the ingress queries another gate.
             let slot = self.admission.try_enter(&call).map_err(to_refusal)?;
             self.admit_response(route)?;
-            return Ok((self.running(slot), announced));
+            return Ok((self.running(slot, turn), announced));
         }
         let arrived = Instant::now();
         let entered = self.admission.enter(&call);
@@ -365,7 +394,7 @@
             }
         };
         self.metrics.observe_stage("waiting", arrived.elapsed());
-        let running = self.running(slot);
+        let running = self.running(slot, turn);
         let announced = self.check_backend(headers)?;
         self.admit_response(route)?;
         Ok((running, announced))
@@ -389,10 +418,11 @@
             "time_left_ms" => left(call.deadline));
     }
 
-    fn running(&self, slot: Slot) -> Running {
+    fn running(&self, slot: Slot, turn: Option<OwnedSemaphorePermit>) -> Running {
         self.metrics.in_flight.inc();
         Running {
             slot,
+            _turn: turn,
             in_flight: self.metrics.in_flight.clone(),
         }
     }
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -58,6 +58,15 @@
 /// Id of the slot reserved for the call.
 pub(crate) const RESERVATION: HeaderName = HeaderName::from_static("sardinestall-reservation");
 
+/// Fingerprint of the call's request.
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("sardinestall-request");
+
+/// Crashes of upstreams that count against the call's request, separated by commas.
+pub(crate) const CRASHES: HeaderName = HeaderName::from_static("sardinestall-crashes");
+
+/// Crash of the upstream that the refused call is held to have caused.
+pub(crate) const CRASH: HeaderName = HeaderName::from_static("sardinestall-crash");
+
 /// Delay after which a refused call may be retried, in milliseconds.
 pub(crate) const RETRY_DELAY: HeaderName = HeaderName::from_static("sardinestall-pause-ms");
 
--- a/crates/call/src/ingress.rs
+++ b/crates/call/src/ingress.rs
@@ -17,7 +17,7 @@
 use crate::request::{Call, random_id};
 use crate::serve::{Server, ServerError};
 use crate::upstream_tracker::Site;
-use crate::{Metrics, Refusal};
+use crate::{Crashes, Metrics, Refusal};
 
 /// The ingress of one daemon.
 #[derive(Debug)]
@@ -48,10 +48,11 @@
 }
 
 impl Ingress {
-    /// Creates an ingress that routes calls by `table`.
+    /// Creates an ingress that routes calls by `table`, and refuses those that crash upstreams by `crashes`.
     pub fn open(
         table: Arc<Table>,
         settings: IngressSettings,
+        crashes: Arc<Crashes>,
         metrics: Metrics,
         log: Logger,
     ) -> Arc<Self> {
@@ -66,7 +67,7 @@
         };
         Arc::new(Self {
             table,
-            dispatcher: Dispatcher::new(origin, metrics.clone(), log.clone()),
+            dispatcher: Dispatcher::new(origin, crashes, metrics.clone(), log.clone()),
             dialect: settings.dialect,
             metrics,
             log,
@@ -135,7 +136,14 @@
             turn.wait().await;
         }
         let limit = call.route.route.rules.body_limit;
-        let payload = Payload::open(body, limit, call.deadline).await?;
+        let mut payload = Payload::open(body, limit, call.deadline).await?;
+        let mut request = self.dispatcher.fingerprint(&call, &payload);
+        if !payload.is_replayable() && self.dispatcher.is_suspect(request) {
+            // Upstreams crashed under a body that was streamed; only the whole body tells it from others.
+            payload = payload.read_whole(limit, call.deadline).await?;
+            request = self.dispatcher.fingerprint(&call, &payload);
+        }
+        call.fingerprint = Some(request);
         self.dispatcher.send(&call, payload).await
     }
 }
--- a/crates/call/src/outcome.rs
+++ b/crates/call/src/outcome.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
+use model::CrashId;
 use serde::Serialize;
 
 use crate::body::{Body, full};
 use crate::dialect::Dialect;
-use crate::header::{KIND, OUTCOME, REASON, RETRY_DELAY, number};
+use crate::header::{CRASH, KIND, OUTCOME, REASON, RETRY_DELAY, number};
 
 /// Delay after which a refused call may be retried, unless the refusal states another.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -87,6 +88,8 @@
     Forbidden,
     /// A call with the same key was received before.
     Duplicate,
+    /// The request has crashed upstreams.
+    Quarantined,
     /// The call uses a feature that the system does not support.
     Unsupported,
 }
@@ -109,6 +112,7 @@
         Self::BadRequest,
         Self::Forbidden,
         Self::Duplicate,
+        Self::Quarantined,
         Self::Unsupported,
     ];
 
@@ -130,6 +134,7 @@
             Self::BadRequest => "bad_request",
             Self::Forbidden => "forbidden",
             Self::Duplicate => "duplicate",
+            Self::Quarantined => "quarantined",
             Self::Unsupported => "unsupported",
         }
     }
@@ -154,6 +159,8 @@
     pub message: String,
     /// Delay after which the call may be retried, if it differs from the default.
     pub retry_delay: Option<Duration>,
+    /// Crash of the upstream that the call is held to have caused.
+    pub crash: Option<CrashId>,
 }
 
 /// JSON body of a refusal sent to a caller.
@@ -172,6 +179,7 @@
             outcome: Outcome::NotRun,
             message: message.into(),
             retry_delay: None,
+            crash: None,
         }
     }
 
@@ -182,6 +190,7 @@
             outcome: Outcome::Unknown,
             message: message.into(),
             retry_delay: None,
+            crash: None,
         }
     }
 
@@ -192,6 +201,7 @@
             outcome: Outcome::Ran,
             message: message.into(),
             retry_delay: None,
+            crash: None,
         }
     }
 
@@ -204,6 +214,7 @@
             | RefusalKind::Leaving
             | RefusalKind::Rejected
             | RefusalKind::Misdirected
+            | RefusalKind::Quarantined
             | RefusalKind::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             RefusalKind::Deadline => StatusCode::GATEWAY_TIMEOUT,
             RefusalKind::Unreachable | RefusalKind::Broken | RefusalKind::Garbled => {
@@ -235,6 +246,7 @@
                 | RefusalKind::Deadline
                 | RefusalKind::Rejected
                 | RefusalKind::Misdirected
+                | RefusalKind::Quarantined
                 | RefusalKind::Unreachable,
             ) => Some(self.retry_delay.unwrap_or(DEFAULT_RETRY_DELAY)),
             _ => None,
@@ -261,6 +273,10 @@
             outcome,
             message: message.unwrap_or("refused by the upstream's gate").into(),
             retry_delay,
+            crash: response
+                .headers()
+                .get(CRASH)
+                .and_then(|crash| crash.to_str().ok()?.parse().ok()),
         })
     }
 
@@ -274,6 +290,12 @@
         if let Some(delay) = self.retry_delay {
             headers.insert(RETRY_DELAY, HeaderValue::from(delay.as_millis() as u64));
         }
+        let crash = self
+            .crash
+            .map(|crash| HeaderValue::from_str(&crash.to_string()));
+        if let Some(Ok(crash)) = crash {
+            headers.insert(CRASH, crash);
+        }
         if let Ok(reason) = HeaderValue::from_str(&self.message) {
             headers.insert(REASON, reason);
         }
--- a/crates/call/src/payload.rs
+++ b/crates/call/src/payload.rs
@@ -17,6 +17,15 @@
 /// VM's link rate.
 pub(crate) const SMALL_LIMIT: Size = Size::new(4 << 10);
 
+/// What is known of a body before it is sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Content<'a> {
+    /// All of it.
+    Whole(&'a [u8]),
+    /// Its size, if it states one.
+    Streamed(Option<Size>),
+}
+
 /// The body of a request.
 pub(crate) enum Payload {
     /// Buffered: can be sent again.
@@ -58,6 +67,33 @@
         }
     }
 
+    /// Returns what tells the payload from others before it is sent: its content if it is buffered, otherwise its size,
+    /// if known.
+    pub(crate) fn content(&self) -> Content<'_> {
+        match self {
+            Self::Buffered(bytes) => Content::Whole(bytes),
+            Self::Streamed(body, _) => {
+                let size = body.as_ref().and_then(|body| body.size_hint().exact());
+                Content::Streamed(size.map(Size::new))
+            }
+        }
+    }
+
+    /// Reads a streamed body whole.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that exceeds `limit`, or has not arrived by `deadline`.
+    pub(crate) async fn read_whole(self, limit: Size, deadline: Instant) -> Result<Self, Refusal> {
+        let Self::Streamed(Some(body), overrun) = self else {
+            return Ok(self);
+        };
+        match buffer(body, deadline).await {
+            Err(_) if overrun.happened() => Err(too_large(limit)),
+            result => result.map(Self::Buffered),
+        }
+    }
+
     /// Returns whether the body can be sent again.
     pub(crate) fn is_replayable(&self) -> bool {
         matches!(self, Self::Buffered(_))
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -6,7 +6,7 @@
 use http::header::{CONTENT_LENGTH, HOST, UPGRADE};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version as HttpVersion};
-use model::{Priority, Version};
+use model::{Fingerprint, Priority, ServiceName, Version};
 use rand::RngExt;
 use table::{PoolTable, RouteTable, Snapshot, Upstream};
 use tokio::time::Instant;
@@ -18,6 +18,7 @@
     BODY, BRIEF, CALLER, CALLER_KEY, DEADLINE, FLEET_KEY, KEY, NO_WAIT, OBJECTIVE, PRIORITY,
     RESERVATION, RESERVE, ROUTE, SERVICE, number, remove_hop_by_hop, remove_internal,
 };
+use crate::payload::Content;
 use crate::retry::is_idempotent;
 use crate::selection::Wait;
 use crate::{Refusal, RefusalKind};
@@ -59,6 +60,8 @@
     pub(crate) idempotent: bool,
     /// Number of live daemons that share the fleet's retry allowance.
     pub(crate) live_daemons: usize,
+    /// Fingerprint of the request, once its body is open.
+    pub(crate) fingerprint: Option<Fingerprint>,
 }
 
 impl Call {
@@ -121,10 +124,37 @@
                 .map(|objective| arrived + objective.duration()),
             idempotent,
             live_daemons: 1,
+            fingerprint: None,
             route,
         })
     }
 
+    /// Returns the fingerprint of the request if `caller` sends it with `content`. Requests whose bodies are streamed
+    /// share one if they differ in their bodies alone.
+    pub(crate) fn fingerprint(
+        &self,
+        caller: Option<&ServiceName>,
+        content: Content<'_>,
+    ) -> Fingerprint {
+        let path = self.parts.uri.path_and_query();
+        let size;
+        let (form, body) = match content {
+            Content::Whole(body) => ("whole", body),
+            Content::Streamed(stated) => {
+                size = stated.map_or(String::new(), |size| size.get().to_string());
+                ("streamed", size.as_bytes())
+            }
+        };
+        Fingerprint::of([
+            form.as_bytes(),
+            caller.map_or("", ServiceName::as_str).as_bytes(),
+            self.parts.method.as_str().as_bytes(),
+            host(&self.parts).as_bytes(),
+            path.map_or("/", |path| path.as_str()).as_bytes(),
+            body,
+        ])
+    }
+
     /// Returns the request's id, for the log.
     pub(crate) fn id(&self) -> &str {
         self.id.to_str().unwrap_or("unprintable")
--- a/crates/call/src/retry.rs
+++ b/crates/call/src/retry.rs
@@ -24,6 +24,7 @@
     | RefusalKind::TooLarge
     | RefusalKind::Forbidden
     | RefusalKind::Duplicate
+    | RefusalKind::Quarantined
     | RefusalKind::Unsupported = refusal.kind
     {
         return false;
--- a/crates/call/tests/policy.rs
+++ b/crates/call/tests/policy.rs
@@ -725,6 +725,7 @@
             outcome,
             message: String::new(),
             retry_delay: None,
+            crash: None,
         };
         may_retry(&refusal, idempotent, arrivals, &rules)
     };
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -9,8 +9,8 @@
 use axum::Router;
 use bytes::Bytes;
 use call::{
-    Announcement, Backend, DefaultDialect, Gate, Ingress, IngressSettings, Metrics, Readiness,
-    Server,
+    Announcement, Backend, Crashes, DefaultDialect, Gate, Ingress, IngressSettings, Metrics,
+    Readiness, Server,
 };
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -83,11 +83,13 @@
         };
         backend.announce(announcement.clone());
         let key = Secret::new("fleet");
+        let crashes = Arc::<Crashes>::default();
         let gate = Gate::open(
             Arc::clone(&backend),
             key.clone(),
             None,
             Arc::new(DefaultDialect),
+            Arc::clone(&crashes),
             metrics.clone(),
             log(),
         );
@@ -101,6 +103,7 @@
                 retry_slack: None,
                 dialect: Arc::new(DefaultDialect),
             },
+            crashes,
             metrics,
             log(),
         );
@@ -182,6 +185,7 @@
         link: None,
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,8 +6,8 @@
 
 use admin::{Api, HttpServer, Operator, Operators};
 use call::{
-    Announcement, Backend, DefaultDialect, Dialect, Gate, Ingress, IngressSettings, Metrics,
-    Readiness, Server,
+    Announcement, Backend, Crashes, DefaultDialect, Dialect, Gate, Ingress, IngressSettings,
+    Metrics, Readiness, Server,
 };
 use ledger::Ledger;
 use member::{Members, Record, UpstreamState};
@@ -18,10 +18,11 @@
 use store::{GrpcStore, Store};
 use table::Table;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::counted::CountedStore;
+use crate::crashes::share_crashes;
 use crate::{Settings, SpawnError};
 
 /// Time between the announcement of the departure and the refusal of calls, so that other daemons
@@ -68,6 +69,7 @@
     admin: HttpServer,
     announce: HttpServer,
     watcher: JoinHandle<()>,
+    sharing: AbortHandle,
     log: Logger,
 }
 
@@ -180,17 +182,20 @@
         node.register(&registry)?;
         let key = settings.fleet.key.clone();
         let dialect = Arc::new(DefaultDialect);
+        let crashes = Arc::<Crashes>::default();
         let gate = Gate::open(
             Arc::clone(&backend),
             key.clone(),
             settings.vm.link,
             dialect.clone(),
+            Arc::clone(&crashes),
             metrics.clone(),
             log.clone(),
         );
         let ingress = Ingress::open(
             Arc::clone(&table),
             ingress_settings(&settings, None, dialect),
+            Arc::clone(&crashes),
             metrics,
             log.clone(),
         );
@@ -205,6 +210,7 @@
             log: log.clone(),
         };
         let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
+        let sharing = tokio::spawn(share_crashes(crashes, Arc::clone(&table))).abort_handle();
         info!(log, "daemon started";
             "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
             "admin" => %addresses.admin, "announce" => %addresses.announce);
@@ -218,6 +224,7 @@
             table,
             node,
             watcher,
+            sharing,
             log,
         })
     }
@@ -242,6 +249,7 @@
     pub async fn stop(self) -> StopReport {
         info!(self.log, "daemon stops");
         self.watcher.abort();
+        self.sharing.abort();
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         sleep(DEPARTURE_NOTICE).await;
@@ -329,6 +337,7 @@
         link: settings.vm.link,
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use call::{Backend, Dialect, Gate, Ingress, Metrics, Server};
+use call::{Backend, Crashes, Dialect, Gate, Ingress, Metrics, Server};
 use follow::{ConfigFormat, Follower};
 use member::{Members, UpstreamState};
 use model::Millis;
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::counted::CountedStore;
+use crate::crashes::share_crashes;
 use crate::daemon::{Addresses, Listeners, ingress_settings, local_record, watch_backend};
 use crate::{Settings, SpawnError, StopReport};
 
@@ -113,11 +114,13 @@
         )?;
         follower.register(&registry)?;
         let follower = Arc::new(follower);
+        let crashes = Arc::<Crashes>::default();
         let gate = Gate::open(
             Arc::clone(&backend),
             settings.fleet.key.clone(),
             settings.vm.link,
             Arc::clone(&adapters.dialect),
+            Arc::clone(&crashes),
             metrics.clone(),
             log.clone(),
         );
@@ -128,6 +131,7 @@
                 Some(settings.fleet.retry_slack),
                 adapters.dialect,
             ),
+            Arc::clone(&crashes),
             metrics,
             log.clone(),
         );
@@ -140,6 +144,7 @@
         if let Some(listener) = listeners.ready {
             tasks.push(endpoints.serve_readiness(listener, ready));
         }
+        tasks.push(tokio::spawn(share_crashes(crashes, Arc::clone(&table))).abort_handle());
         tasks.push(admin::spawn_metrics(registry, listeners.admin));
         info!(log, "daemon started";
             "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: its settings, and the assembly of its components.
 
 mod counted;
+mod crashes;
 mod daemon;
 mod direct;
 mod error;
--- a/crates/follow/tests/relays.rs
+++ b/crates/follow/tests/relays.rs
@@ -25,6 +25,7 @@
         link: Rate::from_bits(link),
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use model::{DomainName, Incarnation, Rate, RegionName, ServiceName, UnixMillis, VmId};
+use model::{
+    CrashId, CrashReport, DomainName, Fingerprint, Incarnation, Rate, RegionName, ServiceName,
+    UnixMillis, VmId,
+};
 use wire::fleet;
 
 /// State of the upstream of a daemon.
@@ -51,6 +54,8 @@
     pub expired: bool,
     /// Time at which the daemon left or expired; `None` while it is alive.
     pub ended: Option<UnixMillis>,
+    /// Requests that are held to have crashed the upstream, with all crashes known of them.
+    pub crashes: Vec<CrashReport>,
 }
 
 impl Record {
@@ -121,6 +126,11 @@
             link: Rate::from_bits(record.link_bits),
             expired: record.expired,
             ended: (record.ended_ms != 0).then_some(UnixMillis::new(record.ended_ms)),
+            crashes: record
+                .crashes
+                .iter()
+                .map(|report| report_from_wire(report).ok_or_else(|| fail("crash report")))
+                .collect::<Result<_, _>>()?,
         })
     }
 }
@@ -145,10 +155,27 @@
             link_bits: record.link.map_or(0, Rate::bits),
             expired: record.expired,
             ended_ms: record.ended.map_or(0, UnixMillis::get),
+            crashes: record.crashes.iter().map(report_to_wire).collect(),
         }
     }
 }
 
+fn report_from_wire(report: &fleet::CrashReport) -> Option<CrashReport> {
+    Some(CrashReport {
+        request: Fingerprint::from_slice(&report.request)?,
+        crash: CrashId::new(report.crash),
+        expires: UnixMillis::new(report.expires_ms),
+    })
+}
+
+fn report_to_wire(report: &CrashReport) -> fleet::CrashReport {
+    fleet::CrashReport {
+        request: report.request.to_bytes().into(),
+        crash: report.crash.get(),
+        expires_ms: report.expires.get(),
+    }
+}
+
 fn state_from_wire(state: fleet::UpstreamState) -> UpstreamState {
     match state {
         fleet::UpstreamState::Absent => UpstreamState::Absent,
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -20,6 +20,7 @@
         link: None,
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,6 +3,7 @@
 mod change;
 mod collect;
 mod config;
+mod crash;
 mod digest;
 mod intern;
 mod limits;
@@ -21,6 +22,7 @@
     Config, FORMAT, HeaderMatch, Item, Key, Kind, PathMatch, Pool, Priority, Route, Rules, Service,
     Target,
 };
+pub use crash::{CrashError, CrashId, CrashReport, Fingerprint};
 pub use digest::Digest;
 pub use limits::ConnectionLimits;
 pub use lock::lock;
--- a/crates/proof/tests/chain/mod.rs
+++ b/crates/proof/tests/chain/mod.rs
@@ -82,5 +82,6 @@
         link: None,
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -86,6 +86,7 @@
             link: None,
             expired: false,
             ended: None,
+            crashes: Vec::new(),
         };
         let settings = Settings {
             vm: record.vm.clone(),
--- a/crates/table/tests/step.rs
+++ b/crates/table/tests/step.rs
@@ -36,6 +36,7 @@
         link: None,
         expired: false,
         ended: None,
+        crashes: Vec::new(),
     }
 }
 
