Log reads of the store that go on failing

The 1st, 2nd, 4th, 8th failure in a row and so on are logged now, with their number and the version in force.

--- a/crates/follow/src/schedule.rs
+++ b/crates/follow/src/schedule.rs
@@ -135,4 +135,9 @@
     pub fn is_failing(&self) -> bool {
         self.failures > 0
     }
+
+    /// Returns the number of reads that failed since the last one that succeeded.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
 }
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -187,10 +187,13 @@
         return;
     };
     state.set_follows_store(false);
-    if !schedule.is_failing() || error == Error::Compacted {
-        info!(shared.log, "read of the store failed"; "prefix" => topic.prefix(), "read" => ?read, "error" => %error);
-    }
     schedule.failed(&error, rand::random(), Instant::now());
+    // Logged ever more rarely while reads go on failing.
+    if schedule.failures().is_power_of_two() || error == Error::Compacted {
+        info!(shared.log, "read of the store failed"; "prefix" => topic.prefix(), "read" => ?read,
+            "error" => %error, "failures" => schedule.failures(),
+            "in_force" => %shared.installer.version());
+    }
 }
 
 /// Waits until the store names a later era than that of the revision which `read` continues from.
