Tell requests in flight at a crash from the one that caused it

In the first second of a series, a call that was in flight at one crash could be counted for others, and be refused for ten minutes.

Change: a request in flight at a crash is a suspect, whoever is held to be the cause, and takes turns from then on. It is quarantined after three crashes of which it is held to have caused two; at a first crash with several calls in flight, none is. Reports say which it is, and a later report that a request is the cause counts.

--- a/crates/call/src/crashes.rs
+++ b/crates/call/src/crashes.rs
@@ -1,20 +1,24 @@
 //! Requests that crash upstreams.
 //!
 //! Designed for a request that ends each upstream that begins to run it, and that its caller sends again. After
-//! [`QUARANTINE_CRASHES`] crashes it is refused everywhere; until then it is a suspect. A gate runs one suspect at a
-//! time, so that a crash is attributed to the suspect alone, and calls that were in flight at an earlier crash are
-//! not quarantined with it.
+//! [`QUARANTINE_CRASHES`] crashes it is refused everywhere; until then it is a suspect, as is every request that was in
+//! flight at a crash. A gate runs one suspect at a time, so that a crash is attributed to the suspect alone, and requests that
+//! were merely in flight are not quarantined with it.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard};
 
-use model::{CrashId, CrashReport, Fingerprint, UnixMillis, lock};
+use model::{CrashId, CrashReport, Fingerprint, Involvement, UnixMillis, lock};
 use tokio::sync::watch;
 
 /// Crashes of upstreams under a request after which the request is refused.
 pub const QUARANTINE_CRASHES: usize = 3;
 
+/// How many of these the request must be held to have caused. At the first crash, every request in flight may be the
+/// cause.
+pub const QUARANTINE_CAUSED: usize = 2;
+
 /// Time after which a crash no longer counts, in milliseconds.
 pub const CRASH_TTL_MS: u64 = 600_000;
 
@@ -57,6 +61,7 @@
     id: CrashId,
     expires: UnixMillis,
     place: Place,
+    involvement: Involvement,
     /// Whether the request has completed a run since, and so did not cause the crash.
     acquitted: bool,
 }
@@ -66,7 +71,7 @@
 pub struct CrashTable(HashMap<Fingerprint, Vec<Crash>>);
 
 impl CrashTable {
-    /// Records that a request is held to have caused a crash; returns whether that is new.
+    /// Records that a request was in flight at a crash; returns whether the report says something new.
     pub fn record(&mut self, report: CrashReport, place: Place, now: UnixMillis) -> bool {
         if report.expires <= now {
             return false;
@@ -78,10 +83,14 @@
             if place == Place::Local {
                 known.place = place;
             }
-            return false;
+            let is_worse = report.involvement > known.involvement;
+            known.involvement = known.involvement.max(report.involvement);
+            return is_worse;
         }
         if crashes.len() >= MAX_CRASHES {
-            let Some(least) = crashes.iter().position(|crash| crash.acquitted) else {
+            let replaceable =
+                |crash: &Crash| crash.acquitted || crash.involvement < report.involvement;
+            let Some(least) = crashes.iter().position(replaceable) else {
                 return false;
             };
             crashes.swap_remove(least);
@@ -90,6 +99,7 @@
             id: report.crash,
             expires: report.expires.min(latest),
             place,
+            involvement: report.involvement,
             acquitted: false,
         });
         self.evict(now);
@@ -111,31 +121,39 @@
 
     /// Returns what is known of `request`.
     pub fn verdict(&self, request: Fingerprint, now: UnixMillis) -> Verdict {
-        let mut expiries: Vec<UnixMillis> = self.counted(request, now).map(|c| c.expires).collect();
-        expiries.sort();
-        match expiries.len() {
-            0 => Verdict::Clear,
-            // The latest crashes keep it quarantined for as long as enough of them count.
-            count if count >= QUARANTINE_CRASHES => Verdict::Quarantined {
-                until: expiries[count - QUARANTINE_CRASHES],
+        let expiries = |least: Involvement| {
+            let crashes = self.counted(request, now);
+            let crashes = crashes.filter(|crash| crash.involvement >= least);
+            let mut expiries: Vec<UnixMillis> = crashes.map(|crash| crash.expires).collect();
+            expiries.sort_by_key(|expires| Reverse(*expires));
+            expiries
+        };
+        let all = expiries(Involvement::InFlight);
+        let caused = expiries(Involvement::Cause);
+        // It is quarantined for as long as enough crashes count.
+        let until = all.get(QUARANTINE_CRASHES - 1).copied();
+        match until.zip(caused.get(QUARANTINE_CAUSED - 1).copied()) {
+            Some((one, other)) => Verdict::Quarantined {
+                until: one.min(other),
             },
-            _ => Verdict::Suspect,
+            None if all.is_empty() => Verdict::Clear,
+            None => Verdict::Suspect,
         }
     }
 
-    /// Returns the requests among `in_flight` that are held to have caused a crash: those against which the most
-    /// crashes count, so that a suspect is held to have caused the crash of the calls beside it.
-    pub fn suspects(&self, in_flight: &[Fingerprint], now: UnixMillis) -> Vec<Fingerprint> {
-        let count = |request: &Fingerprint| self.counted(*request, now).count();
-        let most = in_flight.iter().map(count).max().unwrap_or(0);
-        let mut suspects: Vec<Fingerprint> = in_flight
-            .iter()
-            .copied()
-            .filter(|request| count(request) == most)
-            .collect();
-        suspects.sort();
-        suspects.dedup();
-        suspects
+    /// Returns the requests among `in_flight` that are held to have caused a crash: of the suspects, those that are held to
+    /// have caused the most crashes; without suspects, the only request, if there is but one.
+    pub fn causes(&self, in_flight: &[Fingerprint], now: UnixMillis) -> BTreeSet<Fingerprint> {
+        let rank = |request: &Fingerprint| {
+            let crashes = self.counted(*request, now);
+            let caused = crashes.filter(|crash| crash.involvement == Involvement::Cause);
+            (self.counted(*request, now).count().min(1), caused.count())
+        };
+        let highest = in_flight.iter().map(rank).max().unwrap_or_default();
+        let causes = in_flight.iter().filter(|request| rank(request) == highest);
+        let causes: BTreeSet<Fingerprint> = causes.copied().collect();
+        let is_known = highest > (0, 0) || causes.len() == 1;
+        if is_known { causes } else { BTreeSet::new() }
     }
 
     /// Returns the reports of the crashes that count against `request`.
@@ -144,13 +162,14 @@
         let reports = crashes.map(|crash| CrashReport {
             request,
             crash: crash.id,
+            involvement: crash.involvement,
             expires: crash.expires,
         });
         reports.collect()
     }
 
-    /// Returns the reports to publish: all crashes of the requests that are held to have crashed the upstream beside
-    /// this daemon, ordered, those of requests with the most crashes first if there are too many.
+    /// Returns the reports to publish, ordered: all crashes of the requests that were in flight at a crash of the upstream
+    /// beside this daemon. If there are too many, those of requests with few crashes are left out.
     pub fn published(&self, now: UnixMillis) -> Vec<CrashReport> {
         let local = self.0.keys().filter(|request| {
             let mut crashes = self.counted(**request, now);
@@ -223,24 +242,27 @@
         self.changed.subscribe()
     }
 
-    /// Attributes the crash `id` of the local upstream to those of the calls `in_flight` that are held to have caused it;
-    /// returns them.
-    pub(crate) fn attribute(&self, id: CrashId, in_flight: &[Fingerprint]) -> Vec<Fingerprint> {
+    /// Records a crash of the local upstream for the requests `in_flight`; returns the report of each.
+    pub(crate) fn attribute(&self, crash: CrashId, in_flight: &[Fingerprint]) -> Vec<CrashReport> {
         let now = UnixMillis::now();
-        let expires = UnixMillis::new(now.get() + CRASH_TTL_MS);
         let mut table = self.lock();
-        let suspects = table.suspects(in_flight, now);
-        for request in &suspects {
-            let report = CrashReport {
-                request: *request,
-                crash: id,
-                expires,
-            };
-            table.record(report, Place::Local, now);
+        let causes = table.causes(in_flight, now);
+        let reports = in_flight.iter().map(|request| CrashReport {
+            request: *request,
+            crash,
+            involvement: match causes.contains(request) {
+                true => Involvement::Cause,
+                false => Involvement::InFlight,
+            },
+            expires: UnixMillis::new(now.get() + CRASH_TTL_MS),
+        });
+        let reports: Vec<CrashReport> = reports.collect();
+        for report in &reports {
+            table.record(*report, Place::Local, now);
         }
         drop(table);
         self.changed.send_replace(());
-        suspects
+        reports
     }
 
     /// Records that a run of `request` was completed.
--- a/crates/call/src/gate/crash.rs
+++ b/crates/call/src/gate/crash.rs
@@ -77,12 +77,13 @@
             return refusal;
         }
         let crash = run.attribute_crash(&self.crashes);
-        if let Some(crash) = crash {
+        if let Some(report) = &crash {
             warn!(self.log, "upstream crashed under a request";
                 "request" => id.and_then(|id| id.to_str().ok()),
                 "instance" => announced.instance.as_ref().map(ToString::to_string),
-                "crash" => %crash, "fingerprint" => %run.request(),
-                "verdict" => ?self.crashes.verdict(run.request()));
+                "crash" => %report.crash, "fingerprint" => %report.request,
+                "involvement" => ?report.involvement,
+                "verdict" => ?self.crashes.verdict(report.request));
         }
         Refusal { crash, ..refusal }
     }
--- a/crates/call/src/header.rs
+++ b/crates/call/src/header.rs
@@ -64,7 +64,7 @@
 /// Crashes of upstreams that count against the call's request, separated by commas.
 pub(crate) const CRASHES: HeaderName = HeaderName::from_static("sardinestall-crashes");
 
-/// Crash of the upstream that the refused call is held to have caused.
+/// Crash of the upstream that ended the refused call.
 pub(crate) const CRASH: HeaderName = HeaderName::from_static("sardinestall-crash");
 
 /// Delay after which a refused call may be retried, in milliseconds.
--- a/crates/call/src/outcome.rs
+++ b/crates/call/src/outcome.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
-use model::CrashId;
+use model::CrashReport;
 use serde::Serialize;
 
 use crate::body::{Body, full};
@@ -159,8 +159,8 @@
     pub message: String,
     /// Delay after which the call may be retried, if it differs from the default.
     pub retry_delay: Option<Duration>,
-    /// Crash of the upstream that the call is held to have caused.
-    pub crash: Option<CrashId>,
+    /// Crash of the upstream that ended the call.
+    pub crash: Option<CrashReport>,
 }
 
 /// JSON body of a refusal sent to a caller.
--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use model::{CrashReport, Fingerprint, UnixMillis};
 
-use crate::crashes::{CRASH_TTL_MS, Crashes, Verdict};
+use crate::crashes::{Crashes, Verdict};
 use crate::header::{CRASHES, REQUEST};
 use crate::{Refusal, RefusalKind};
 
@@ -25,16 +25,10 @@
     Err(refusal.with_retry_delay(Duration::from_millis(left)))
 }
 
-/// Records the crash that a gate holds `request` to have caused.
+/// Records the crash that a gate reports for `request`.
 pub(crate) fn learn(crashes: &Crashes, request: Fingerprint, refusal: &Refusal) {
-    if let Some(crash) = refusal.crash {
-        let expires = UnixMillis::new(UnixMillis::now().get() + CRASH_TTL_MS);
-        crashes.merge(&[CrashReport {
-            request,
-            crash,
-            expires,
-        }]);
-    }
+    let report = refusal.crash.iter();
+    crashes.merge(report.filter(|report| report.request == request));
 }
 
 /// Writes the fingerprint of a call's request, and the crashes that count against it.
--- a/crates/call/src/running.rs
+++ b/crates/call/src/running.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-use model::{CrashId, Fingerprint, lock};
+use model::{CrashId, CrashReport, Fingerprint, lock};
 
 use crate::backend::Announcement;
 use crate::crashes::Crashes;
@@ -13,8 +13,8 @@
 struct Inner {
     next: u64,
     calls: HashMap<u64, (CrashId, Fingerprint)>,
-    /// The last crash, with the requests that are held to have caused it.
-    last: Option<(CrashId, Vec<Fingerprint>)>,
+    /// Reports of the last crash.
+    last: Vec<CrashReport>,
 }
 
 /// Calls that the upstream of one gate runs.
@@ -49,29 +49,22 @@
 }
 
 impl RunningCall {
-    /// Returns the request that is run.
-    pub(crate) fn request(&self) -> Fingerprint {
-        self.request
-    }
-
-    /// Attributes the crash of the upstream during this call; returns the crash if the call's request is held to have
-    /// caused it.
+    /// Records the crash of the upstream during this call, and returns the report on the call's request.
     ///
     /// The calls that broke in one crash share its attribution, which the first of them makes.
-    pub(crate) fn attribute_crash(&self, crashes: &Crashes) -> Option<CrashId> {
+    pub(crate) fn attribute_crash(&self, crashes: &Crashes) -> Option<CrashReport> {
         let mut inner = lock(&self.all.0);
-        if inner
-            .last
-            .as_ref()
-            .is_none_or(|(last, _)| *last != self.crash)
-        {
+        let last = inner.last.first();
+        if last.is_none_or(|last| last.crash != self.crash) {
             let calls = inner.calls.values();
             let in_flight = calls.filter(|(crash, _)| *crash == self.crash);
             let in_flight: Vec<Fingerprint> = in_flight.map(|(_, request)| *request).collect();
-            inner.last = Some((self.crash, crashes.attribute(self.crash, &in_flight)));
+            inner.last = crashes.attribute(self.crash, &in_flight);
         }
-        let (_, suspects) = inner.last.as_ref()?;
-        suspects.contains(&self.request).then_some(self.crash)
+        let mut reports = inner.last.iter();
+        reports
+            .find(|report| report.request == self.request)
+            .copied()
     }
 }
 
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use model::{
-    CrashId, CrashReport, DomainName, Fingerprint, Incarnation, Rate, RegionName, ServiceName,
-    UnixMillis, VmId,
+    CrashId, CrashReport, DomainName, Fingerprint, Incarnation, Involvement, Rate, RegionName,
+    ServiceName, UnixMillis, VmId,
 };
 use wire::fleet;
 
@@ -54,7 +54,7 @@
     pub expired: bool,
     /// Time at which the daemon left or expired; `None` while it is alive.
     pub ended: Option<UnixMillis>,
-    /// Requests that are held to have crashed the upstream, with all crashes known of them.
+    /// Requests that were in flight when the upstream crashed, with all crashes known of them.
     pub crashes: Vec<CrashReport>,
 }
 
@@ -164,6 +164,10 @@
     Some(CrashReport {
         request: Fingerprint::from_slice(&report.request)?,
         crash: CrashId::new(report.crash),
+        involvement: match report.cause {
+            true => Involvement::Cause,
+            false => Involvement::InFlight,
+        },
         expires: UnixMillis::new(report.expires_ms),
     })
 }
@@ -173,6 +177,7 @@
         request: report.request.to_bytes().into(),
         crash: report.crash.get(),
         expires_ms: report.expires.get(),
+        cause: report.involvement == Involvement::Cause,
     }
 }
 
--- a/crates/model/src/crash.rs
+++ b/crates/model/src/crash.rs
@@ -91,20 +91,36 @@
     }
 }
 
-/// Report that a request is held to have crashed an upstream.
+/// How a request is involved in a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Involvement {
+    /// It was in flight, and so may have caused the crash.
+    InFlight,
+    /// It is held to have caused the crash.
+    Cause,
+}
+
+/// Report that a request was in flight when an upstream crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashReport {
     /// The request.
     pub request: Fingerprint,
     /// The crash.
     pub crash: CrashId,
+    /// Whether the request is held to have caused it.
+    pub involvement: Involvement,
     /// Time at which the report expires.
     pub expires: UnixMillis,
 }
 
 impl fmt::Display for CrashReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.request, self.crash, self.expires.get())
+        let involvement = match self.involvement {
+            Involvement::InFlight => "in-flight",
+            Involvement::Cause => "cause",
+        };
+        let expires = self.expires.get();
+        write!(f, "{}/{}/{involvement}/{expires}", self.request, self.crash)
     }
 }
 
@@ -117,6 +133,11 @@
             let report = Self {
                 request: words.next()?.parse().ok()?,
                 crash: words.next()?.parse().ok()?,
+                involvement: match words.next()? {
+                    "in-flight" => Involvement::InFlight,
+                    "cause" => Involvement::Cause,
+                    _ => return None,
+                },
                 expires: UnixMillis::new(words.next()?.parse().ok()?),
             };
             words.next().is_none().then_some(report)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -22,7 +22,7 @@
     Config, FORMAT, HeaderMatch, Item, Key, Kind, PathMatch, Pool, Priority, Route, Rules, Service,
     Target,
 };
-pub use crash::{CrashError, CrashId, CrashReport, Fingerprint};
+pub use crash::{CrashError, CrashId, CrashReport, Fingerprint, Involvement};
 pub use digest::Digest;
 pub use limits::ConnectionLimits;
 pub use lock::lock;
