End held polls when their relay loses the store

The class: an answer that is awaited from one who has learnt that it cannot give it.

Ruled out: the transfer and compiling (the version has 60 kB), relays that do not notice (they do).

Change: polls that wait at a relay are woken when it no longer follows the store, and say so. held_polls_are_answered_as_soon_as_the_relay_loses_the_store failed before and passes. Tests of follow pass.

--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod schedule;
 pub mod suspects;
 mod topic;
-mod topic_state;
+pub mod topic_state;
 
 pub use error::SpawnError;
 pub use format::{ConfigFormat, Configuration, FormatError};
--- a/crates/follow/src/topic_state.rs
+++ b/crates/follow/src/topic_state.rs
@@ -11,7 +11,7 @@
 
 /// Last read of one topic.
 #[derive(Debug)]
-pub(crate) struct TopicState {
+pub struct TopicState {
     /// Whether this daemon reads the store directly and the store answers.
     follows_store: AtomicBool,
     /// Revision of the last read.
@@ -30,56 +30,60 @@
 }
 
 impl TopicState {
-    /// Sets whether this daemon reads the store directly and the store answers.
-    pub(crate) fn set_follows_store(&self, follows: bool) {
-        self.follows_store.store(follows, Ordering::Relaxed);
+    /// Sets whether this daemon reads the store directly and the store answers. Polls that wait here are woken when it
+    /// no longer does, as this daemon would not see the change that they wait for.
+    pub fn set_follows_store(&self, follows: bool) {
+        let followed = self.follows_store.swap(follows, Ordering::Relaxed);
+        if followed && !follows {
+            self.revision.send_modify(|_| ());
+        }
     }
 
     /// Returns whether this daemon reads the store directly and the store answers.
-    pub(crate) fn follows_store(&self) -> bool {
+    pub fn follows_store(&self) -> bool {
         self.follows_store.load(Ordering::Relaxed)
     }
 
     /// Replaces the entries with a scan of every key at `revision`.
-    pub(crate) fn apply_scan(&self, entries: &[Entry], revision: Revision) {
+    pub fn apply_scan(&self, entries: &[Entry], revision: Revision) {
         self.lock().apply_scan(entries, revision);
         self.advance(revision);
     }
 
     /// Applies changes made after the last read.
-    pub(crate) fn apply_changes(&self, changes: &Changes) {
+    pub fn apply_changes(&self, changes: &Changes) {
         self.lock().apply_changes(changes);
         self.advance(changes.revision);
     }
 
     /// Advances the revision of the last read to `revision`, if that is later.
-    pub(crate) fn advance(&self, revision: Revision) {
+    pub fn advance(&self, revision: Revision) {
         self.revision
             .send_modify(|current| *current = revision.max(*current));
     }
 
     /// Returns the revision of the last read.
-    pub(crate) fn revision(&self) -> Revision {
+    pub fn revision(&self) -> Revision {
         *self.revision.borrow()
     }
 
     /// Returns all current entries, or `None` before the first scan.
-    pub(crate) fn snapshot(&self) -> Option<Scan> {
+    pub fn snapshot(&self) -> Option<Scan> {
         self.lock().snapshot()
     }
 
     /// Returns the current entry of `key`.
-    pub(crate) fn entry(&self, key: &str) -> Option<Entry> {
+    pub fn entry(&self, key: &str) -> Option<Entry> {
         self.lock().entry(key)
     }
 
     /// Returns the changes after `after`, or `None` if deletions since then are not known.
-    pub(crate) fn since(&self, after: Revision) -> Option<Changes> {
+    pub fn since(&self, after: Revision) -> Option<Changes> {
         self.lock().since(after)
     }
 
-    /// Returns a receiver that is notified of each read.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<Revision> {
+    /// Returns a receiver that is notified of each read, and of the loss of the store.
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
     }
 
--- a/crates/follow/tests/relays.rs
+++ b/crates/follow/tests/relays.rs
@@ -5,6 +5,7 @@
 use follow::feed::Feed;
 use follow::packed::{pack, unpack};
 use follow::relays::{RelaySelector, Source, relays};
+use follow::topic_state::TopicState;
 use member::{Record, UpstreamState};
 use model::{Incarnation, Rate};
 use store::{Changes, Entry, Era, Revision, Scan};
@@ -253,3 +254,16 @@
     assert!(packed.len() < value.len());
     assert_eq!(unpack(&packed, &[]).expect("unpacked"), value);
 }
+
+/// A relay that lost the store held the polls of its followers to the end, and they read no version meanwhile.
+#[test]
+fn held_polls_are_answered_as_soon_as_the_relay_loses_the_store() {
+    let state = TopicState::default();
+    state.set_follows_store(true);
+    let mut poll = state.subscribe();
+    poll.mark_unchanged();
+    state.set_follows_store(true);
+    assert!(!poll.has_changed().expect("a running relay"));
+    state.set_follows_store(false);
+    assert!(poll.has_changed().expect("a running relay"));
+}
