Notice within 1.4 s that the store is silent for a relay

Found while the cause before was traced: a version that is written just when the store falls silent for the relays was in force at their followers up to 2.5 s later, over the 2 s of configApply.

Cause: a relay renews its lease each second, and the renewal, which alone shows the silence, had 1.5 s for its answer.

Change: a relay renews every 0.7 s, and takes the store for lost after 0.7 s without an answer. Other daemons and other calls keep their limits, as their links may be narrow. A store that is slower than 0.7 s an answer is read by every daemon itself, as one slower than 1.5 s was before.

--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::{FleetKey, fleet};
 
 use crate::config::Installer;
@@ -272,7 +272,13 @@
             }
         }
         Step::Renew(lease) => {
-            let alive = shared.store.renew(lease).await?;
+            let renewal = shared.store.renew(lease);
+            let alive = match publisher.renewal_timeout() {
+                Some(limit) => timeout(limit, renewal).await.unwrap_or_else(|_| {
+                    Err(Error::Unavailable("no answer to a renewal in time".into()))
+                })?,
+                None => renewal.await?,
+            };
             if !alive {
                 info!(shared.log, "own lease lapsed"; "lease" => %lease);
             }
--- a/crates/follow/src/publisher.rs
+++ b/crates/follow/src/publisher.rs
@@ -10,7 +10,12 @@
 
 /// Longest time between two renewals of a daemon that follows the store. A renewal is the only regular call
 /// besides the watches, and reveals a store that was restored while the watches hang.
-const FOLLOWER_RENEWAL: Duration = Duration::from_millis(1_000);
+const FOLLOWER_RENEWAL: Duration = Duration::from_millis(700);
+
+/// Time within which the store answers a renewal of a daemon that follows it; otherwise it counts as lost there. With
+/// [`FOLLOWER_RENEWAL`], short enough for the daemons that poll this one to read a version from the store themselves
+/// within 2 s of its acceptance.
+const FOLLOWER_RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Pause after a failed call. Records must be back in the store within 2 s of its return.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -92,6 +97,11 @@
             }
     }
 
+    /// Returns the time within which a renewal must be answered, if it is shorter than that of other calls.
+    pub fn renewal_timeout(&self) -> Option<Duration> {
+        self.follows_store.then_some(FOLLOWER_RENEWAL_TIMEOUT)
+    }
+
     /// Returns the next call for the record with counter `wanted`.
     pub fn next(&self, wanted: u64, now: Instant) -> Step {
         if now < self.retry_at {
