--- a/crates/call/src/crashes.rs
+++ b/crates/call/src/crashes.rs
@@ -41,7 +41,7 @@
     Suspect,
     /// It is not sent to upstreams.
     Quarantined {
-        /// Time at which the first of its crashes no longer counts.
+        /// Time at which too few of its crashes count.
         until: UnixMillis,
     },
 }
