Ask in one place whether a request is a suspect

Found on reading the change once more: the ingress and the gate each compared the verdict with the clear one. Both ask Crashes::is_suspect now. A doc comment said that only causes of crashes are published; it is every request in flight. No change of behaviour.

--- a/crates/call/src/crashes.rs
+++ b/crates/call/src/crashes.rs
@@ -272,6 +272,11 @@
         }
     }
 
+    /// Returns whether crashes count against `request`.
+    pub(crate) fn is_suspect(&self, request: Fingerprint) -> bool {
+        self.verdict(request) != Verdict::Clear
+    }
+
     pub(crate) fn verdict(&self, request: Fingerprint) -> Verdict {
         self.lock().verdict(request, UnixMillis::now())
     }
--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -18,7 +18,6 @@
 use crate::body::{Body, GuardedBody, boxed, empty};
 use crate::bounds::timed;
 use crate::budget::{self, Budgets};
-use crate::crashes::Verdict;
 use crate::gate_connections::GateConnections;
 use crate::header::{LOAD, RESERVATION, number};
 use crate::health::CallResult;
@@ -144,7 +143,7 @@
 
     /// Returns whether upstreams crashed under `request`.
     pub(crate) fn is_suspect(&self, request: Fingerprint) -> bool {
-        self.crashes.verdict(request) != Verdict::Clear
+        self.crashes.is_suspect(request)
     }
 
     /// Selects a pool and attempts its upstreams in turn while the route's rules and the retry budget
--- a/crates/call/src/gate/crash.rs
+++ b/crates/call/src/gate/crash.rs
@@ -14,7 +14,6 @@
 
 use super::Gate;
 use crate::backend::Announcement;
-use crate::crashes::Verdict;
 use crate::request::wait;
 use crate::running::RunningCall;
 use crate::selection::Wait;
@@ -42,7 +41,7 @@
         let Some(request) = request else {
             return Ok(None);
         };
-        if self.crashes.verdict(request) == Verdict::Clear {
+        if !self.crashes.is_suspect(request) {
             return Ok(None);
         }
         let limit = match wait(headers) {
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -6,8 +6,8 @@
 use member::Sequence;
 use table::Table;
 
-/// Publishes the requests that are held to have crashed the local upstream in the membership record of this daemon, and
-/// records those that other daemons publish.
+/// Publishes the requests that were in flight when the local upstream crashed in the membership record of this daemon,
+/// and records those that other daemons publish.
 pub(crate) async fn share_crashes(crashes: Arc<Crashes>, table: Arc<Table>) {
     let mut local = crashes.subscribe();
     let mut membership = table.members().subscribe();
