--- a/crates/follow/src/config.rs
+++ b/crates/follow/src/config.rs
@@ -149,7 +149,12 @@
             .iter()
             .filter(|entry| entry.key == self.format.key());
         for entry in ours {
+            let before = self.version();
             self.offer(&entry.value, "store");
+            if self.version() > before {
+                info!(self.log, "configuration read from the store";
+                    "version" => %self.version(), "revision" => %entry.revision);
+            }
         }
     }
 
--- a/crates/follow/src/relays.rs
+++ b/crates/follow/src/relays.rs
@@ -27,6 +27,16 @@
     Relays(Vec<Record>),
 }
 
+impl Source {
+    /// Returns the name of the kind of source, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Relays(_) => "relays",
+        }
+    }
+}
+
 /// Selects the relays that the local daemon polls.
 ///
 /// Designed for a storm of configurations on a fleet with narrow links: the store sends a large value
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -71,10 +71,13 @@
     if let Topic::Config(_) = topic {
         wait_for_members(&shared).await;
     }
+    let mut last_source = None;
     loop {
         let (due, read) = schedule.next_read();
         sleep_until(due).await;
-        match source(&shared) {
+        let source = source(&shared);
+        log_change(&shared, &topic, &source, read, &mut last_source);
+        match source {
             Source::Relays(relays) => {
                 topic.state(&shared).set_follows_store(false);
                 let after = continuation(&shared, read);
@@ -85,6 +88,22 @@
     }
 }
 
+/// Logs a change of where `topic` is read from, with the revision after which it is read.
+fn log_change(
+    shared: &Shared,
+    topic: &Topic,
+    source: &Source,
+    read: Read,
+    last: &mut Option<&'static str>,
+) {
+    let name = source.name();
+    if last.replace(name) == Some(name) {
+        return;
+    }
+    info!(shared.log, "source changed"; "prefix" => topic.prefix(), "source" => name,
+        "after" => %continuation(shared, read), "in_force" => %shared.installer.version());
+}
+
 /// Waits until the membership has been read, or [`MEMBERS_WAIT`] has passed.
 async fn wait_for_members(shared: &Shared) {
     let members = shared.exchange.topic_state(fleet::Topic::Members);
