Check with the store that no change was missed

A watch that began in a gap of the store's notifications hears nothing of what was written before, and is neither answered nor refused until the next write; every daemon but the relays had begun one, as the relays' watches were cut and each follower then turned to the store for 12 s. Ruled out by logs: a revision that skips the version, relays with nothing to say, and a value that does not come through.

Silence of a watch is no confirmation any more. Each topic knows when it was last known to miss no change, by a read that sees every write:

- A daemon that follows the store compares the configuration's revision (0.8 s, 1.5 s in fallback) and scans the records (3 s) beside its watch, and reads on from there if something was missed.
The comparison is a transaction without writes, which returns the value only if it has changed.
- A relay answers for the store only within 2 s (records: 5 s) of that, by its own clock, and states the time with each answer; it also ends held polls then.
- A follower whose relays are behind asks them again after 0.3 s, and reads the store from 1.2 s after its last confirmation on, until relays are usable.
- Without any confirmation for 4.5 s a daemon logs it and asks peers each 0.5 s.

--- a/crates/daemon/src/counted.rs
+++ b/crates/daemon/src/counted.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use prometheus::{IntCounterVec, Opts, Registry};
-use store::{Changes, Entry, Era, Error, Expect, LeaseId, Put, Revision, Scan, Store};
+use store::{Changes, Comparison, Entry, Era, Error, Expect, LeaseId, Put, Revision, Scan, Store};
 use tokio::sync::watch;
 
 /// Forwards calls to another store and counts them by operation and result.
@@ -58,6 +58,11 @@
         self.count("get", result)
     }
 
+    async fn compare(&self, key: &str, revision: Revision) -> Result<Comparison, Error> {
+        let result = self.store.compare(key, revision).await;
+        self.count("compare", result)
+    }
+
     async fn list(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Entry>, Error> {
         let result = self.store.list(prefix, after, limit).await;
         self.count("list", result)
--- a/crates/follow/src/config.rs
+++ b/crates/follow/src/config.rs
@@ -6,7 +6,7 @@
 
 use model::{Change, Digest, State, UnixMillis, Version, lock};
 use slog::{Logger, info, warn};
-use store::Entry;
+use store::{Entry, Revision};
 use table::{Applied, FullVersion, Table};
 use tokio::time::Instant;
 use wire::fleet::PackedConfig;
@@ -32,6 +32,8 @@
 struct RecentConfigs {
     configs: VecDeque<StoredConfig>,
     packed: Vec<PackedConfig>,
+    /// Latest revision of the store's key whose value was offered here, in force or refused.
+    seen: Option<Revision>,
 }
 
 /// Puts complete, valid configurations in force, and never replaces one by an older one.
@@ -143,6 +145,17 @@
         self.table.snapshot().version
     }
 
+    /// Returns the latest revision of the store's key whose value was offered here.
+    pub(crate) fn seen(&self) -> Revision {
+        self.lock().seen.unwrap_or(Revision::ZERO)
+    }
+
+    /// Records that the value of the store's key at `revision` was offered here.
+    pub(crate) fn mark_seen(&self, revision: Revision) {
+        let mut recent = self.lock();
+        recent.seen = recent.seen.max(Some(revision));
+    }
+
     /// Puts the configuration among `entries` in force.
     pub(crate) fn offer_entries(&self, entries: &[Entry]) {
         let ours = entries
@@ -151,6 +164,7 @@
         for entry in ours {
             let before = self.version();
             self.offer(&entry.value, "store");
+            self.mark_seen(entry.revision);
             if self.version() > before {
                 info!(self.log, "configuration read from the store";
                     "version" => %self.version(), "revision" => %entry.revision);
--- a/crates/follow/src/feed.rs
+++ b/crates/follow/src/feed.rs
@@ -1,6 +1,6 @@
 //! Changes of the membership records as read from the store, served to daemons that poll this one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use store::{Changes, Entry, Revision, Scan};
 
@@ -59,6 +59,30 @@
         }
     }
 
+    /// Returns the changes with which `scan` differs from the entries here. Changes that arrived here after the
+    /// scan are left out.
+    pub fn difference(&self, scan: &Scan) -> Changes {
+        let is_known = |entry: &&Entry| {
+            let known = self.entries.get(&entry.key).map(|known| known.revision);
+            known.max(self.deleted.get(&entry.key).copied()) >= Some(entry.revision)
+        };
+        let scanned: BTreeSet<&str> = scan
+            .entries
+            .iter()
+            .map(|entry| entry.key.as_str())
+            .collect();
+        let is_gone = |entry: &&Entry| {
+            entry.revision <= scan.revision && !scanned.contains(entry.key.as_str())
+        };
+        let entries = scan.entries.iter().filter(|entry| !is_known(entry));
+        let deleted = self.entries.values().filter(is_gone);
+        Changes {
+            entries: entries.cloned().collect(),
+            deleted: deleted.map(|entry| entry.key.clone()).collect(),
+            revision: scan.revision,
+        }
+    }
+
     /// Returns all current entries, or `None` before the first scan.
     pub fn snapshot(&self) -> Option<Scan> {
         self.oldest.map(|_| Scan {
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -7,9 +7,11 @@
 //!
 //! Decisions are separate from sockets and clocks: the selection of relays ([`relays`]), the next read of
 //! the store ([`schedule`]), the next call for the local record ([`publisher`]), the changes that a relay
-//! sends ([`feed`]), the expiry of members ([`suspects`]) and the entries to delete ([`outdated`]).
+//! sends ([`feed`]), the checks that no change was missed ([`confirmation`]), the expiry of members ([`suspects`])
+//! and the entries to delete ([`outdated`]).
 
 mod config;
+pub mod confirmation;
 mod error;
 pub mod feed;
 mod format;
@@ -26,6 +28,7 @@
 pub mod suspects;
 mod topic;
 pub mod topic_state;
+mod verify;
 
 pub use error::SpawnError;
 pub use format::{ConfigFormat, Configuration, FormatError};
--- a/crates/follow/src/metrics.rs
+++ b/crates/follow/src/metrics.rs
@@ -13,6 +13,8 @@
 pub(crate) struct FollowerMetrics {
     version: IntGauge,
     age: IntGauge,
+    /// -1 before the first confirmation.
+    unconfirmed: IntGauge,
     members: IntGauge,
     /// Known daemons, by the state of their upstream.
     states: IntGaugeVec,
@@ -51,6 +53,10 @@
                 "sardinestall_version_age_seconds",
                 "Time since the version in force was put in force here.",
             )?,
+            unconfirmed: gauge(
+                "sardinestall_version_unconfirmed_seconds",
+                "Time since the version in force was last known to be the newest; -1 if it never was.",
+            )?,
             members: gauge(
                 "sardinestall_members",
                 "Daemons known that have not left or expired.",
@@ -74,10 +80,11 @@
         })
     }
 
-    fn gauges(&self) -> [&IntGauge; 5] {
+    fn gauges(&self) -> [&IntGauge; 6] {
         [
             &self.version,
             &self.age,
+            &self.unconfirmed,
             &self.members,
             &self.connected,
             &self.era,
@@ -102,6 +109,9 @@
         self.version
             .set(self.shared.installer.version().get() as i64);
         self.age.set(self.shared.installer.age().as_secs() as i64);
+        let unconfirmed = self.shared.config_unconfirmed();
+        self.unconfirmed
+            .set(unconfirmed.map_or(-1, |age| age.as_secs() as i64));
         self.members.set(members.live() as i64);
         self.connected
             .set(i64::from(*self.shared.store_up.borrow()));
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -18,6 +18,7 @@
 use wire::{FleetKey, fleet};
 
 use crate::config::Installer;
+use crate::confirmation::CONFIG_TERMS;
 use crate::members::{self, Directory};
 use crate::metrics::FollowerMetrics;
 use crate::outdated::outdated;
@@ -32,7 +33,11 @@
 /// record: one heartbeat interval plus delay. Saves a second write of the record.
 const ANNOUNCEMENT_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Mean time between two exchanges with a random peer while the store does not answer.
+/// Time between two checks whether the configuration in force is confirmed.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Mean time between two exchanges with a random peer while the store does not answer, or nothing confirms the
+/// configuration.
 const OUTAGE_EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Mean time between two checks for entries of VMs that have left. Longer than a daemon that is still there
@@ -117,6 +122,7 @@
             tokio::spawn(follow(Arc::clone(&shared), Topic::Members)).abort_handle(),
             tokio::spawn(exchange.clone().probe_suspects()).abort_handle(),
             tokio::spawn(retire_outdated(Arc::clone(&shared))).abort_handle(),
+            tokio::spawn(report_unconfirmed(Arc::clone(&shared))).abort_handle(),
             tokio::spawn(exchange_periodically(
                 Arc::clone(&shared),
                 settings.exchange,
@@ -170,6 +176,18 @@
         topics.iter().any(TopicState::follows_store)
     }
 
+    /// Returns the time since the configuration in force was last known to be the newest.
+    pub(crate) fn config_unconfirmed(&self) -> Option<Duration> {
+        let confirmed = self.exchange.topic_state(fleet::Topic::Config).confirmed();
+        confirmed.map(|at| at.elapsed())
+    }
+
+    /// Returns whether the configuration in force was lately known to be the newest.
+    fn is_config_confirmed(&self) -> bool {
+        let confirmed = self.exchange.topic_state(fleet::Topic::Config).confirmed();
+        confirmed.is_some_and(|at| Instant::now() < CONFIG_TERMS.overdue_at(at))
+    }
+
     /// Records the outcome of a store call, and logs when the store is lost or regained.
     fn set_store_up(&self, outcome: Result<(), &Error>) {
         let is_up = outcome.is_ok();
@@ -318,13 +336,36 @@
     }
 }
 
-/// Exchanges with random peers, more often while the store does not answer.
+/// Logs when the configuration in force is no longer known to be the newest, and when it is again.
+async fn report_unconfirmed(shared: Arc<Shared>) {
+    let mut was_confirmed = true;
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        let is_confirmed = shared.is_config_confirmed();
+        if is_confirmed == was_confirmed {
+            continue;
+        }
+        was_confirmed = is_confirmed;
+        let version = shared.installer.version();
+        match is_confirmed {
+            true => info!(shared.log, "version confirmed again"; "in_force" => %version),
+            false => {
+                warn!(shared.log, "version unconfirmed; neither relays nor the store answer for it";
+                "in_force" => %version, "store_up" => *shared.store_up.borrow(),
+                "confirmed_ms_ago" => shared.config_unconfirmed().map(|age| age.as_millis() as u64))
+            }
+        }
+    }
+}
+
+/// Exchanges with random peers, more often while the store does not answer or the configuration is unconfirmed.
 async fn exchange_periodically(shared: Arc<Shared>, mean: Millis) {
     let exchange = &shared.exchange;
     let mut store_up = shared.store_up.subscribe();
     loop {
         let jitter = rand::rng().random_range(0.5..1.5);
-        let pause = match *store_up.borrow_and_update() {
+        let is_store_up = *store_up.borrow_and_update();
+        let pause = match is_store_up && shared.is_config_confirmed() {
             true => mean.duration().mul_f64(jitter),
             false => OUTAGE_EXCHANGE_INTERVAL.mul_f64(jitter),
         };
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -25,6 +25,7 @@
 use wire::{FleetKey, endpoint};
 
 use crate::config::Installer;
+use crate::confirmation::{CONFIG_TERMS, MEMBERS_TERMS, Terms, offset_ms};
 use crate::members::Directory;
 use crate::relay_client::{MAX_HOLD, has_changes};
 use crate::topic_state::TopicState;
@@ -88,21 +89,34 @@
     async fn watch(&self, request: Request<WatchRequest>) -> Result<Response<WatchReply>, Status> {
         let request = request.into_inner();
         let wait = Duration::from_millis(u64::from(request.wait_ms)).min(MAX_HOLD);
-        let deadline = Instant::now() + wait;
-        let mut reads = self.topic_state(request.topic()).subscribe();
+        let arrival = Instant::now();
+        let deadline = arrival + wait;
+        let state = self.topic_state(request.topic());
+        let mut reads = state.subscribe();
         loop {
             reads.mark_unchanged();
-            let reply = self.changes_since(&request);
-            if !reply.follows || has_changes(&reply) {
+            let reply = self.changes_since(&request, arrival);
+            if !reply.follows || has_changes(&reply) || Instant::now() >= deadline {
                 return Ok(Response::new(reply));
             }
-            if timeout_at(deadline, reads.changed()).await.is_err() {
-                return Ok(Response::new(reply));
+            // The poll ends when this daemon may no longer answer for the store, unless it is confirmed until then.
+            let valid_until = terms(request.topic()).valid_until(state.confirmed());
+            let until = valid_until.map_or(deadline, |until| until.min(deadline));
+            if let Ok(Err(_)) = timeout_at(until, reads.changed()).await {
+                return Err(Status::unavailable("the daemon stops"));
             }
         }
     }
 }
 
+/// Returns the terms of confirmations of `topic`.
+pub(crate) fn terms(topic: Topic) -> Terms {
+    match topic {
+        Topic::Config => CONFIG_TERMS,
+        Topic::Members => MEMBERS_TERMS,
+    }
+}
+
 fn to_wire_entry(entry: store::Entry) -> Entry {
     Entry {
         key: entry.key,
@@ -132,8 +146,12 @@
     }
 
     /// Returns the changes since the revision and version stated in `request`.
-    fn changes_since(&self, request: &WatchRequest) -> WatchReply {
+    fn changes_since(&self, request: &WatchRequest, arrival: Instant) -> WatchReply {
         let topic_state = self.topic_state(request.topic());
+        // Read before the version, which may be installed meanwhile.
+        let confirmed = topic_state.confirmed();
+        let seen = self.installer.seen();
+        let is_valid = terms(request.topic()).is_valid(confirmed, Instant::now());
         let after = Revision {
             era: Era(request.era),
             number: request.after,
@@ -141,12 +159,21 @@
         let read = topic_state.revision();
         let mut reply = WatchReply {
             // The caller may know that the store was restored before this daemon does.
-            follows: topic_state.follows_store() && read.era >= after.era,
+            follows: topic_state.follows_store() && is_valid && read.era >= after.era,
+            confirmed_ms: confirmed.map(|confirmed| offset_ms(confirmed, arrival)),
             ..WatchReply::default()
         };
         let mut revision = read.max(after);
         match request.topic() {
-            Topic::Config => reply.config = self.installer.newer(Version::new(request.version)),
+            Topic::Config => {
+                reply.config = self.installer.newer(Version::new(request.version));
+                reply.config_revision = if seen.era == revision.era {
+                    seen.number
+                } else {
+                    0
+                };
+                reply.version = self.installer.version().get();
+            }
             Topic::Members => {
                 if let Some(changes) = topic_state.since(after) {
                     reply.written = changes.entries.into_iter().map(to_wire_entry).collect();
@@ -158,6 +185,7 @@
                     revision = all.revision;
                 } else {
                     reply.follows = false;
+                    reply.confirmed_ms = None;
                 }
             }
         }
--- a/crates/follow/src/relay_client.rs
+++ b/crates/follow/src/relay_client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use member::Record;
-use model::{VmId, lock};
+use model::lock;
 use slog::{Logger, debug};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
@@ -60,13 +60,23 @@
         lock(&self.selector).source(own, members, Instant::now())
     }
 
+    /// Returns the time at which the daemon with record `own` has enough relays to poll.
+    pub(crate) fn usable_at(&self, own: &Record, members: &[Record]) -> Option<Instant> {
+        lock(&self.selector).relays_usable_at(own, members)
+    }
+
     /// Polls all of `relays` and returns the first response that has changes or comes from a relay that
-    /// watches the store. Returns `None` if there is no such response.
+    /// follows the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns the responses of relays that do not follow the store if there is no such response.
     pub(crate) async fn watch(
         &self,
         relays: &[Record],
         request: WatchRequest,
-    ) -> Option<WatchReply> {
+    ) -> Result<WatchReply, Vec<WatchReply>> {
+        let mut behind = Vec::new();
         let mut waiting = JoinSet::new();
         for relay in relays {
             let client = self.client(relay.fleet);
@@ -78,21 +88,26 @@
                 continue;
             };
             match response {
-                Ok(reply) if reply.follows || has_changes(&reply) => return Some(reply),
-                Ok(_) => self.mark_failed(&relay, "it does not watch the store"),
+                Ok(reply) if reply.follows || has_changes(&reply) => {
+                    lock(&self.selector).mark_following(&relay.vm);
+                    return Ok(reply);
+                }
+                Ok(reply) => {
+                    debug!(self.log, "relay set aside"; "relay" => %relay.vm,
+                        "reason" => "it does not follow the store");
+                    let now = Instant::now();
+                    lock(&self.selector).mark_behind(relay.vm, rand::random(), now);
+                    behind.push(reply);
+                }
                 Err(status) => {
                     lock(&self.clients).remove(&relay.fleet);
-                    self.mark_failed(&relay, status.message());
+                    debug!(self.log, "relay set aside"; "relay" => %relay.vm,
+                        "reason" => status.message());
+                    lock(&self.selector).mark_failed(relay.vm, Instant::now());
                 }
             }
         }
-        None
-    }
-
-    fn mark_failed(&self, relay: &Record, reason: &str) {
-        debug!(self.log, "relay set aside"; "relay" => %relay.vm, "reason" => reason);
-        let vm: VmId = relay.vm.clone();
-        lock(&self.selector).mark_failed(vm, Instant::now());
+        Err(behind)
     }
 
     fn client(&self, address: SocketAddr) -> Result<PeersClient<Channel>, Status> {
--- a/crates/follow/src/relays.rs
+++ b/crates/follow/src/relays.rs
@@ -15,9 +15,13 @@
 /// Relays that a daemon polls at once; if one of them misses a change, the other delivers it.
 const RELAYS_PER_DAEMON: usize = 2;
 
-/// Time for which a failed relay is not polled: long enough for it to retry the store several times.
+/// Time for which a relay that does not respond is not polled. Longest backoff of one that does not follow the store.
 const RELAY_BACKOFF: Duration = Duration::from_secs(3);
 
+/// Time for which a relay that does not follow the store is not polled, doubled each time in a row. Long enough for it
+/// to read the store anew after its watch was cut.
+const BEHIND_BACKOFF: Duration = Duration::from_millis(300);
+
 /// Where a daemon reads changes from.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Source {
@@ -43,7 +47,15 @@
 /// once to each relay, and the relays send only a difference to each other daemon.
 #[derive(Debug, Default)]
 pub struct RelaySelector {
-    backed_off: BTreeMap<VmId, Instant>,
+    backed_off: BTreeMap<VmId, Backoff>,
+}
+
+/// Backoff of one relay.
+#[derive(Debug, Clone, Copy)]
+struct Backoff {
+    until: Instant,
+    /// Polls in a row that it answered without following the store.
+    behind: u32,
 }
 
 /// Returns the relays among `members`: the VMs with the widest links of each failure domain.
@@ -84,14 +96,15 @@
 impl RelaySelector {
     /// Returns where the daemon with record `own` reads changes from at `now`.
     pub fn source(&mut self, own: &Record, members: &[Record], now: Instant) -> Source {
-        self.backed_off.retain(|_, until| *until > now);
         let relays = relays(members);
         if relays.iter().any(|relay| relay.vm == own.vm) {
             return Source::Store;
         }
+        self.backed_off
+            .retain(|vm, _| relays.iter().any(|relay| relay.vm == *vm));
         let mut usable: Vec<&Record> = relays
             .into_iter()
-            .filter(|relay| !self.backed_off.contains_key(&relay.vm))
+            .filter(|relay| self.usable_at(&relay.vm).is_none_or(|at| at <= now))
             .collect();
         usable.sort_by_cached_key(|relay| {
             let pair = hash(&[own.vm.as_str(), relay.vm.as_str()]);
@@ -109,8 +122,43 @@
         )
     }
 
-    /// Excludes the relay `vm`, which did not respond or does not watch the store, for the backoff time.
+    /// Returns the time at which the daemon with record `own` has enough relays to poll, as far as is known. Returns
+    /// `None` if it is a relay itself, or has too few whatever the time.
+    pub fn relays_usable_at(&self, own: &Record, members: &[Record]) -> Option<Instant> {
+        let relays = relays(members);
+        if relays.iter().any(|relay| relay.vm == own.vm) {
+            return None;
+        }
+        let mut times: Vec<_> = relays
+            .iter()
+            .map(|relay| self.usable_at(&relay.vm))
+            .collect();
+        times.sort();
+        times.get(RELAYS_PER_DAEMON - 1).copied().flatten()
+    }
+
+    fn usable_at(&self, vm: &VmId) -> Option<Instant> {
+        self.backed_off.get(vm).map(|backoff| backoff.until)
+    }
+
+    /// Excludes the relay `vm`, which did not respond, for the backoff time.
     pub fn mark_failed(&mut self, vm: VmId, now: Instant) {
-        self.backed_off.insert(vm, now + RELAY_BACKOFF);
+        let until = now + RELAY_BACKOFF;
+        self.backed_off.insert(vm, Backoff { until, behind: 0 });
+    }
+
+    /// Excludes the relay `vm`, which answered that it does not follow the store. `jitter`, between 0 and 1, spreads
+    /// the daemons that poll it.
+    pub fn mark_behind(&mut self, vm: VmId, jitter: f64, now: Instant) {
+        let behind = self.backed_off.get(&vm).map_or(0, |backoff| backoff.behind);
+        let pause = BEHIND_BACKOFF * 2u32.saturating_pow(behind.min(8));
+        let until = now + pause.min(RELAY_BACKOFF).mul_f64(0.75 + jitter / 2.0);
+        let behind = behind + 1;
+        self.backed_off.insert(vm, Backoff { until, behind });
+    }
+
+    /// Ends the backoff of the relay `vm`, which follows the store.
+    pub fn mark_following(&mut self, vm: &VmId) {
+        self.backed_off.remove(vm);
     }
 }
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use member::Record;
+use model::Version;
 use slog::info;
 use store::{Changes, Entry, Era, Error, Revision, Scan};
 use tokio::sync::watch;
@@ -13,12 +14,15 @@
 use wire::fleet::{WatchReply, WatchRequest};
 
 use crate::ConfigFormat;
+use crate::confirmation::{Terms, relayed};
 use crate::members;
 use crate::node::Shared;
+use crate::peers::terms;
 use crate::relay_client::{MAX_HOLD, has_changes};
 use crate::relays::Source;
 use crate::schedule::{CatchUp, Read, ReadSchedule};
 use crate::topic_state::TopicState;
+use crate::verify::{WatchEnd, verify};
 
 /// Minimum interval between reads of the configuration while it changes. Accepted versions must be in
 /// force within 2 s.
@@ -39,7 +43,7 @@
 }
 
 impl Topic {
-    fn prefix(&self) -> &str {
+    pub(crate) fn prefix(&self) -> &str {
         match self {
             Self::Config(format) => format.key(),
             Self::Members => members::PREFIX,
@@ -60,7 +64,11 @@
         }
     }
 
-    fn state<'a>(&self, shared: &'a Shared) -> &'a TopicState {
+    pub(crate) fn terms(&self) -> Terms {
+        terms(self.wire())
+    }
+
+    pub(crate) fn state<'a>(&self, shared: &'a Shared) -> &'a TopicState {
         shared.exchange.topic_state(self.wire())
     }
 }
@@ -76,6 +84,14 @@
         let (due, read) = schedule.next_read();
         sleep_until(due).await;
         let source = source(&shared);
+        if let (Source::Store, Some(usable_at)) = (&source, relays_usable_at(&shared)) {
+            let now = Instant::now();
+            let read_at = topic.terms().read_at(topic.state(&shared).confirmed(), now);
+            if now < read_at {
+                sleep_until(usable_at.min(read_at)).await;
+                continue;
+            }
+        }
         log_change(&shared, &topic, &source, read, &mut last_source);
         match source {
             Source::Relays(relays) => {
@@ -127,11 +143,19 @@
     }
 }
 
-fn source(shared: &Shared) -> Source {
+pub(crate) fn source(shared: &Shared) -> Source {
     let members = shared.directory.table().members();
     shared.relay_client.source(&members.own(), &members.all())
 }
 
+/// Returns the time at which this daemon has enough relays to poll, if it is none itself.
+pub(crate) fn relays_usable_at(shared: &Shared) -> Option<Instant> {
+    let members = shared.directory.table().members();
+    shared
+        .relay_client
+        .usable_at(&members.own(), &members.all())
+}
+
 /// Polls `relays` for changes. A failed relay is not polled again before its backoff ends.
 async fn poll(
     shared: &Shared,
@@ -147,37 +171,64 @@
         version: shared.installer.version().get(),
         wait_ms: MAX_HOLD.as_millis() as u32,
     };
-    let Some(reply) = shared.relay_client.watch(relays, request).await else {
-        info!(shared.log, "no relay answers; the store is read"; "prefix" => topic.prefix());
-        return;
+    let sent_at = Instant::now();
+    let mut reply = match shared.relay_client.watch(relays, request).await {
+        Ok(reply) => reply,
+        Err(behind) => {
+            for reply in &behind {
+                confirm(shared, topic, reply, sent_at);
+            }
+            let confirmed = topic.state(shared).confirmed();
+            info!(shared.log, "no relay follows the store"; "prefix" => topic.prefix(),
+                "behind" => behind.len(), "in_force" => %shared.installer.version(),
+                "confirmed_ms_ago" => confirmed.map(|at| at.elapsed().as_millis() as u64));
+            return;
+        }
     };
     let changed = has_changes(&reply);
     if let Some(config) = &reply.config {
         shared.installer.offer_packed(config, "relay");
     }
-    let revision = apply_reply(shared, topic, reply);
+    let revision = apply_reply(shared, topic, &mut reply);
+    confirm(shared, topic, &reply, sent_at);
     schedule.relayed(revision, changed, Instant::now());
 }
 
-/// Applies the entries in the response of a relay; returns the response's revision.
-fn apply_reply(shared: &Shared, topic: &Topic, reply: WatchReply) -> Revision {
-    let in_era = |number| Revision {
-        era: Era(reply.era),
-        number,
-    };
+/// Takes over the confirmation of a relay for a request that was sent at `sent_at`, if this daemon has its version.
+fn confirm(shared: &Shared, topic: &Topic, reply: &WatchReply, sent_at: Instant) {
+    if let Topic::Config(_) = topic {
+        if shared.installer.version() < Version::new(reply.version) {
+            return;
+        }
+        shared.installer.mark_seen(Revision {
+            era: Era(reply.era),
+            number: reply.config_revision,
+        });
+    }
+    if let Some(at) = reply.confirmed_ms.and_then(|ms| relayed(sent_at, ms)) {
+        topic.state(shared).confirm(at);
+    }
+}
+
+/// Applies the entries in the response of a relay, which are taken out; returns the response's revision.
+fn apply_reply(shared: &Shared, topic: &Topic, reply: &mut WatchReply) -> Revision {
+    let era = Era(reply.era);
+    let in_era = |number| Revision { era, number };
     let revision = in_era(reply.revision);
-    let entries = reply.written.into_iter().map(|entry| Entry {
-        key: entry.key,
-        value: entry.value,
-        revision: in_era(entry.revision),
-    });
+    let entries = std::mem::take(&mut reply.written)
+        .into_iter()
+        .map(|entry| Entry {
+            key: entry.key,
+            value: entry.value,
+            revision: in_era(entry.revision),
+        });
     let entries = entries.collect();
     if reply.snapshot {
         apply_scan(shared, topic, &Scan { entries, revision });
     } else {
         let changes = Changes {
             entries,
-            deleted: reply.deleted,
+            deleted: std::mem::take(&mut reply.deleted),
             revision,
         };
         apply_changes(shared, topic, &changes);
@@ -193,8 +244,13 @@
     }
     let mut store_up = shared.store_up.subscribe();
     let era = shared.store.era();
+    let is_doubtful = schedule.is_failing();
     let result = tokio::select! {
         result = execute(shared, topic, read, schedule) => result,
+        end = verify(shared, topic, is_doubtful), if is_watch => end.map(|end| match end {
+            WatchEnd::Missed(revision) => schedule.watched(revision, true, Instant::now()),
+            WatchEnd::RelaysUsable => {}
+        }),
         // The watch waits for a revision that the restored store may give out again, or not at all.
         () = restored(era, read), if is_watch => Err(Error::Compacted),
         // The connection of a waiting watch may be dead; the failure of another call reveals it.
@@ -240,8 +296,10 @@
 ) -> Result<(), Error> {
     match read {
         Read::Scan | Read::Refresh { .. } => {
+            let sent_at = Instant::now();
             let scan = shared.store.scan(topic.prefix()).await?;
             let changed = apply_scan(shared, topic, &scan);
+            topic.state(shared).confirm(sent_at);
             schedule.scanned(scan.revision, changed, Instant::now());
         }
         Read::Watch { after, wait } => {
@@ -273,7 +331,7 @@
     }
 }
 
-fn apply_changes(shared: &Shared, topic: &Topic, changes: &Changes) {
+pub(crate) fn apply_changes(shared: &Shared, topic: &Topic, changes: &Changes) {
     let state = topic.state(shared);
     match topic {
         Topic::Config(_) => {
--- a/crates/follow/src/topic_state.rs
+++ b/crates/follow/src/topic_state.rs
@@ -6,6 +6,7 @@
 use model::lock;
 use store::{Changes, Entry, Revision, Scan};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::feed::Feed;
 
@@ -16,6 +17,8 @@
     follows_store: AtomicBool,
     /// Revision of the last read.
     revision: watch::Sender<Revision>,
+    /// Time at which the state here was known to miss no change.
+    confirmed: Mutex<Option<Instant>>,
     feed: Mutex<Feed>,
 }
 
@@ -24,6 +27,7 @@
         Self {
             follows_store: AtomicBool::new(false),
             revision: watch::Sender::new(Revision::ZERO),
+            confirmed: Mutex::default(),
             feed: Mutex::default(),
         }
     }
@@ -44,6 +48,22 @@
         self.follows_store.load(Ordering::Relaxed)
     }
 
+    /// Records that the state here missed no change at `at`.
+    pub fn confirm(&self, at: Instant) {
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = Some(at).max(*confirmed);
+    }
+
+    /// Returns the latest time at which the state here was known to miss no change.
+    pub fn confirmed(&self) -> Option<Instant> {
+        *lock(&self.confirmed)
+    }
+
+    /// Returns the changes with which a scan differs from the entries here.
+    pub fn difference(&self, scan: &Scan) -> Changes {
+        self.lock().difference(scan)
+    }
+
     /// Replaces the entries with a scan of every key at `revision`.
     pub fn apply_scan(&self, entries: &[Entry], revision: Revision) {
         self.lock().apply_scan(entries, revision);
--- a/crates/follow/tests/relays.rs
+++ b/crates/follow/tests/relays.rs
@@ -112,6 +112,43 @@
     ));
 }
 
+/// All daemons of a fleet read the store at the same moment when a cut of the watches set their relays back for a moment.
+#[test]
+fn relay_that_lost_its_watch_is_polled_again_soon() {
+    let fleet = fleet();
+    let now = Instant::now();
+    let mut selector = RelaySelector::default();
+    assert_eq!(selector.relays_usable_at(&fleet[19], &fleet), None);
+    let relays = [&fleet[19], &fleet[39], &fleet[59]];
+    for relay in relays {
+        selector.mark_behind(relay.vm.clone(), 1.0, now);
+    }
+    assert_eq!(selector.source(&fleet[0], &fleet, now), Source::Store);
+    let usable_at = selector.relays_usable_at(&fleet[0], &fleet);
+    let soon = usable_at.expect("a time");
+    assert!(soon > now && soon <= now + Duration::from_millis(400));
+    assert!(matches!(
+        selector.source(&fleet[0], &fleet, soon),
+        Source::Relays(_)
+    ));
+    // Relays that stay behind are polled ever more rarely.
+    for _ in 0..10 {
+        for relay in relays {
+            selector.mark_behind(relay.vm.clone(), 0.0, now);
+        }
+    }
+    let later = selector.relays_usable_at(&fleet[0], &fleet);
+    assert!(later.expect("a time") >= now + Duration::from_secs(2));
+    for relay in &relays[..2] {
+        selector.mark_following(&relay.vm);
+    }
+    assert_eq!(selector.relays_usable_at(&fleet[0], &fleet), None);
+    assert!(matches!(
+        selector.source(&fleet[0], &fleet, now),
+        Source::Relays(_)
+    ));
+}
+
 #[test]
 fn relay_that_left_is_replaced() {
     let mut fleet = fleet();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -122,6 +122,15 @@
     Conflict,
 }
 
+/// Result of comparing the state of a key with a known one.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Comparison {
+    /// The key was last written at the known revision.
+    Unchanged,
+    /// The key has this entry, or does not exist.
+    Changed(Option<Entry>),
+}
+
 /// Result of reading every key with a prefix.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Scan {
@@ -162,6 +171,18 @@
     /// Reads one key.
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error>;
 
+    /// Returns whether `key` was last written at `revision`, and its entry if it was not. Sees every write that was
+    /// answered before the call began.
+    ///
+    /// The default implementation reads the value; an adapter may compare without it.
+    async fn compare(&self, key: &str, revision: Revision) -> Result<Comparison, Error> {
+        let entry = self.get(key).await?;
+        Ok(match entry {
+            Some(entry) if entry.revision == revision => Comparison::Unchanged,
+            entry => Comparison::Changed(entry),
+        })
+    }
+
     /// Reads up to `limit` keys that start with `prefix` and sort after `after`, in order.
     ///
     /// A page ends early once it contains [`MAX_PAGE_BYTES`]; only an empty page marks the end.
