--- a/crates/follow/tests/confirmation.rs
+++ b/crates/follow/tests/confirmation.rs
@@ -37,6 +37,14 @@
     assert!(due + READ_TIME <= now + CONFIG_APPLY);
 }
 
+/// A version accepted right after a confirmation, while the store answers a relay's renewals only.
+#[test]
+fn relay_stops_answering_for_the_store_early_enough_to_read_it_in_time() {
+    let now = Instant::now();
+    let until = CONFIG_TERMS.valid_until(Some(now)).expect("a time");
+    assert!(until + READ_TIME <= now + CONFIG_APPLY);
+}
+
 #[test]
 fn unconfirmed_state_is_checked_at_once_and_not_relied_on() {
     let now = Instant::now();
