Keep only the limit of confirmations that is used

The records had a limit for being overdue that nothing used, and the configuration's was looked up twice; it is one constant beside its two users. A follower worked out the relays a second time before each poll, although only a daemon about to read the store needs that. Behaviour stays as it is.

--- a/crates/follow/src/confirmation.rs
+++ b/crates/follow/src/confirmation.rs
@@ -19,8 +19,6 @@
     patience: Duration,
     /// A relay no longer answers for the store.
     limit: Duration,
-    /// The topic is unconfirmed: longer than a poll that a relay holds, whose confirmation is within the limit.
-    overdue: Duration,
 }
 
 /// Terms of the configuration: versions must be in force within 2 s of their acceptance.
@@ -29,7 +27,6 @@
     fallback_check: Duration::from_millis(1_500),
     patience: Duration::from_millis(1_200),
     limit: Duration::from_millis(2_000),
-    overdue: Duration::from_millis(4_500),
 };
 
 /// Terms of the membership, which is checked by a scan of every record: changes must be known within 4 s.
@@ -38,7 +35,6 @@
     fallback_check: Duration::from_millis(3_000),
     patience: Duration::from_millis(3_500),
     limit: Duration::from_millis(5_000),
-    overdue: Duration::from_millis(7_500),
 };
 
 impl Terms {
@@ -66,11 +62,6 @@
     pub fn is_valid(&self, confirmed: Option<Instant>, now: Instant) -> bool {
         self.valid_until(confirmed).is_some_and(|until| now < until)
     }
-
-    /// Returns the time from which a topic that was confirmed at `confirmed` is unconfirmed.
-    pub fn overdue_at(&self, confirmed: Instant) -> Instant {
-        confirmed + self.overdue
-    }
 }
 
 /// Returns a bound on the time of a confirmation that a relay states as `offset_ms` after the arrival of a request
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -18,7 +18,6 @@
 use wire::{FleetKey, fleet};
 
 use crate::config::Installer;
-use crate::confirmation::CONFIG_TERMS;
 use crate::members::{self, Directory};
 use crate::metrics::FollowerMetrics;
 use crate::outdated::outdated;
@@ -33,6 +32,10 @@
 /// record: one heartbeat interval plus delay. Saves a second write of the record.
 const ANNOUNCEMENT_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Time after which the configuration in force counts as unconfirmed: longer than a poll that a relay holds, whose
+/// confirmation is within its limit.
+const CONFIG_OVERDUE: Duration = Duration::from_millis(4_500);
+
 /// Time between two checks whether the configuration in force is confirmed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -184,8 +187,8 @@
 
     /// Returns whether the configuration in force was lately known to be the newest.
     fn is_config_confirmed(&self) -> bool {
-        let confirmed = self.exchange.topic_state(fleet::Topic::Config).confirmed();
-        confirmed.is_some_and(|at| Instant::now() < CONFIG_TERMS.overdue_at(at))
+        self.config_unconfirmed()
+            .is_some_and(|age| age < CONFIG_OVERDUE)
     }
 
     /// Records the outcome of a store call, and logs when the store is lost or regained.
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -84,7 +84,9 @@
         let (due, read) = schedule.next_read();
         sleep_until(due).await;
         let source = source(&shared);
-        if let (Source::Store, Some(usable_at)) = (&source, relays_usable_at(&shared)) {
+        if source == Source::Store
+            && let Some(usable_at) = relays_usable_at(&shared)
+        {
             let now = Instant::now();
             let read_at = topic.terms().read_at(topic.state(&shared).confirmed(), now);
             if now < read_at {
