--- a/crates/call/src/dialect.rs
+++ b/crates/call/src/dialect.rs
@@ -45,9 +45,18 @@
     fn write_envelope(&self, headers: &mut HeaderMap, envelope: &Envelope<'_>);
 
     /// Checks an upstream's response to the request with `id`.
+    ///
+    /// No earlier response on the connection failed to name its request, so one that names none is no second
+    /// copy of an earlier one.
     fn check_response(&self, id: Option<&HeaderValue>, response: &response::Parts)
     -> ResponseCheck;
 
+    /// Returns whether a response with `headers` names the request that it answers. A connection is not
+    /// reused after one that does not, because a second copy of it could pass for any later response.
+    fn names_request(&self, _headers: &HeaderMap) -> bool {
+        true
+    }
+
     /// Returns the limit on the calls of all daemons together that an upstream states in its response, if
     /// it states one.
     ///
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -229,7 +229,7 @@
     }
 
     /// Returns the response if the dialect accepts it, otherwise the refusal that replaces it. A connection
-    /// that delivered the response of another request is not reused.
+    /// that delivered the response of another request, or one that names no request, is not reused.
     fn check_response(
         &self,
         (response, mut in_use): (Response<Incoming>, InUse),
@@ -238,6 +238,9 @@
     ) -> Result<(Response<Incoming>, InUse), Refusal> {
         let (parts, body) = response.into_parts();
         let check = self.dialect.check_response(id, &parts);
+        if !self.dialect.names_request(&parts.headers) {
+            in_use.discard();
+        }
         if matches!(check, ResponseCheck::Accepted | ResponseCheck::Rejected) {
             self.read_statement(announced, &parts.headers);
         }
@@ -245,7 +248,11 @@
             return Ok((Response::from_parts(parts, body), in_use));
         };
         match check {
-            ResponseCheck::Misdirected => self.backend.forget(announced.instance.as_ref()),
+            ResponseCheck::Misdirected => {
+                // The connection leads to another upstream.
+                in_use.discard();
+                self.backend.forget(announced.instance.as_ref());
+            }
             ResponseCheck::Mismatched(_) => in_use.discard(),
             ResponseCheck::Accepted | ResponseCheck::Rejected => {}
         }
