Keep departures of upstreams beyond the daemon that acknowledged them

Cause: registrations and departures lived in the memory of the daemon beside the upstream, and its membership record named neither instance nor incarnation. The next daemon on the VM took a heartbeat that was sent before the farewell for a live upstream. The same holds for upstreams that say draining, and for those that state in answers that they leave.

Change: a VM's record names the instances that have left, and the departures outlive the record wherever two records of a VM meet. A daemon that starts does not use its upstream before it has read the store and asked the peers that its predecessor told, for 10 s at most. A new boot at the address gets work as before. Heartbeats that say draining are final for their boot.

--- a/crates/bench/src/spread/fullsize_parent.rs
+++ b/crates/bench/src/spread/fullsize_parent.rs
@@ -181,6 +181,7 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
--- a/crates/bench/src/spread/sizes.rs
+++ b/crates/bench/src/spread/sizes.rs
@@ -88,6 +88,7 @@
         expired: false,
         ended_ms: 0,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -1,11 +1,10 @@
 //! The local upstream: its announcements and drains.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use model::{Incarnation, InstanceId, Millis, ServiceName, UnixMillis, lock};
+use model::{Departures, Incarnation, InstanceId, Millis, ServiceName, UnixMillis};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -66,25 +65,6 @@
 /// delayed.
 const STALE_WINDOW: Duration = Duration::from_secs(10);
 
-/// Maximum number of remembered departures of unknown upstreams.
-const MAX_DEPARTURES: usize = 16;
-
-/// Departure of an upstream that was unknown to the daemon when it deregistered.
-#[derive(Debug)]
-struct Departure {
-    instance: InstanceId,
-    /// Latest departed incarnation: the stated one or, if none is stated, any that started before the
-    /// message arrived.
-    until: Incarnation,
-}
-
-impl Departure {
-    /// Returns whether `announcement` comes from the departed upstream.
-    fn covers(&self, announcement: &Announcement) -> bool {
-        announcement.instance.as_ref() == Some(&self.instance) && announcement.start <= self.until
-    }
-}
-
 /// The registered upstream and its expiry.
 #[derive(Debug, Clone, PartialEq)]
 struct Registration {
@@ -109,12 +89,62 @@
     }
 }
 
+/// What is known of the local upstream.
+#[derive(Debug, Default)]
+struct Local {
+    registration: Option<Registration>,
+    /// Upstreams that drain or have left. They are not used again, whatever a late announcement says.
+    departures: Departures,
+    /// Number of departures recorded here.
+    recorded: u64,
+    /// Number of those that outlive this process.
+    kept: u64,
+    /// Whether departures that an earlier daemon on this VM acknowledged may still be unknown.
+    recovering: bool,
+}
+
+impl Local {
+    fn current(&self) -> Option<Announcement> {
+        let registration = self.registration.as_ref().filter(|_| !self.recovering);
+        registration.and_then(Registration::current)
+    }
+
+    fn expires(&self) -> Option<Instant> {
+        let registration = self.registration.as_ref();
+        registration.map(|registration| registration.expires)
+    }
+
+    fn has_left(&self, announcement: &Announcement) -> bool {
+        let instance = announcement.instance.as_ref();
+        self.departures.cover(instance, announcement.start)
+    }
+
+    /// Records that `instance` has left up to the incarnation `until`.
+    fn record_departure(&mut self, instance: &InstanceId, until: Incarnation) {
+        if self.departures.record(instance, until, UnixMillis::now()) {
+            self.recorded += 1;
+        }
+    }
+
+    /// Drains the registered upstream if `condition` holds, and records its departure; returns whether it does.
+    fn drain_if(&mut self, condition: impl FnOnce(&Registration) -> bool) -> bool {
+        let Some(registration) = self.registration.as_mut().filter(|old| condition(old)) else {
+            return false;
+        };
+        registration.force_drain = true;
+        let announcement = registration.announcement.clone();
+        if let Some(instance) = &announcement.instance {
+            self.record_departure(instance, announcement.start);
+        }
+        true
+    }
+}
+
 /// The local upstream of a daemon.
 #[derive(Debug)]
 pub struct Backend {
     silence: Millis,
-    registration: watch::Sender<Option<Registration>>,
-    departures: Mutex<VecDeque<Departure>>,
+    local: watch::Sender<Local>,
 }
 
 impl Backend {
@@ -122,36 +152,50 @@
     pub fn open(silence: Millis) -> Arc<Self> {
         Arc::new(Self {
             silence,
-            registration: watch::Sender::new(None),
-            departures: Mutex::default(),
+            local: watch::Sender::new(Local::default()),
         })
     }
 
+    /// Creates a backend like [`Backend::open`] whose upstreams are not used before [`Backend::recovered`] is called.
+    pub fn open_recovering(silence: Millis) -> Arc<Self> {
+        let backend = Self::open(silence);
+        backend.local.send_modify(|local| local.recovering = true);
+        backend
+    }
+
+    /// Uses the upstream from now on: the departures that earlier daemons on this VM acknowledged are known.
+    pub fn recovered(&self) {
+        self.local.send_modify(|local| local.recovering = false);
+    }
+
     /// Records an announcement.
     ///
-    /// An operator's drain lasts until another incarnation of the upstream announces itself. Expiry does
-    /// not end it, because a daemon that was suspended receives its upstream's announcements late.
+    /// A drain lasts until another incarnation of the upstream announces itself. Expiry does not end it,
+    /// because a daemon that was suspended receives its upstream's announcements late.
     pub fn announce(&self, announcement: Announcement) {
         let now = Instant::now();
         let expires = now + self.silence.duration();
-        let departed = lock(&self.departures)
-            .iter()
-            .any(|departure| departure.covers(&announcement));
-        self.registration.send_if_modified(|registration| {
-            let old = registration.as_ref();
+        self.local.send_if_modified(|local| {
+            let recorded = local.recorded;
+            if announcement.state == Readiness::Draining
+                && let Some(instance) = &announcement.instance
+            {
+                local.record_departure(instance, announcement.start);
+            }
+            let old = local.registration.as_ref();
             let late = old.is_some_and(|old| {
                 let same = old.announcement.instance == announcement.instance;
                 announcement.is_stale(&old.announcement)
                     && (same || now < old.expires + STALE_WINDOW)
             });
             if late {
-                return false;
+                return local.recorded > recorded;
             }
-            let force_drain = departed
+            let force_drain = local.has_left(&announcement)
                 || old.is_some_and(|old| {
                     old.force_drain && old.announcement.is_same_incarnation(&announcement)
                 });
-            *registration = Some(Registration {
+            local.registration = Some(Registration {
                 announcement,
                 expires,
                 force_drain,
@@ -166,32 +210,27 @@
     /// The departure of an unknown upstream is remembered, because a daemon that has just started may
     /// receive it before a heartbeat that was sent earlier.
     pub fn deregister(&self, instance: &InstanceId, incarnation: Option<Incarnation>) -> bool {
-        let known = self.deregister_known(instance, incarnation);
-        if !known {
-            let mut departures = lock(&self.departures);
-            departures.push_back(Departure {
-                instance: instance.clone(),
-                until: incarnation.unwrap_or(Incarnation::new(UnixMillis::now().get())),
+        let mut known = false;
+        self.local.send_modify(|local| {
+            known = local.drain_if(|old| {
+                let known = old.announcement.instance.as_ref() == Some(instance);
+                known && incarnation.is_none_or(|incarnation| incarnation >= old.announcement.start)
             });
-            let excess = departures.len().saturating_sub(MAX_DEPARTURES);
-            departures.drain(..excess);
-        }
+            // Without a stated incarnation, any that started before the message arrived has left.
+            let unstated = || (!known).then(|| Incarnation::new(UnixMillis::now().get()));
+            if let Some(until) = incarnation.or_else(unstated) {
+                local.record_departure(instance, until);
+            }
+        });
         known
     }
 
-    fn deregister_known(&self, instance: &InstanceId, incarnation: Option<Incarnation>) -> bool {
-        self.drain_if(|old| {
-            let known = old.announcement.instance.as_ref() == Some(instance);
-            known && incarnation.is_none_or(|incarnation| incarnation >= old.announcement.start)
-        })
-    }
-
     /// Expires the upstream `instance`, whose address now belongs to another upstream. Its next
     /// announcement registers it again.
     pub(crate) fn forget(&self, instance: Option<&InstanceId>) {
         let now = Instant::now();
-        self.registration
-            .send_if_modified(|registration| match registration {
+        self.local
+            .send_if_modified(|local| match &mut local.registration {
                 Some(old) if old.announcement.instance.as_ref() == instance => {
                     old.expires = old.expires.min(now);
                     true
@@ -215,42 +254,69 @@
 
     /// Drains the registered upstream if `condition` holds; returns whether it does.
     fn drain_if(&self, condition: impl FnOnce(&Registration) -> bool) -> bool {
-        self.registration
-            .send_if_modified(|registration| match registration {
-                Some(registration) if condition(registration) => {
-                    registration.force_drain = true;
-                    true
-                }
-                _ => false,
-            })
+        self.local
+            .send_if_modified(|local| local.drain_if(condition))
+    }
+
+    /// Returns the departures, and their number for [`Backend::mark_kept`].
+    pub fn departures(&self) -> (Departures, u64) {
+        let local = self.local.borrow();
+        (local.departures.clone(), local.recorded)
+    }
+
+    /// Adds departures that an earlier daemon on this VM acknowledged.
+    pub fn adopt(&self, departures: &Departures) {
+        self.local.send_if_modified(|local| {
+            if !local.departures.merge(departures, UnixMillis::now()) {
+                return false;
+            }
+            let registration = local.registration.take();
+            local.registration = registration.map(|registration| Registration {
+                force_drain: registration.force_drain || local.has_left(&registration.announcement),
+                ..registration
+            });
+            true
+        });
+    }
+
+    /// Records that the first `recorded` departures outlive this process.
+    pub fn mark_kept(&self, recorded: u64) {
+        self.local
+            .send_modify(|local| local.kept = local.kept.max(recorded));
+    }
+
+    /// Waits until a departure is recorded that may not outlive this process, and returns the departures and their
+    /// number.
+    pub async fn unkept(&self) -> (Departures, u64) {
+        let mut local = self.local.subscribe();
+        // The sender is `self`, so the channel is open.
+        let _ = local.wait_for(|local| local.recorded > local.kept).await;
+        self.departures()
+    }
+
+    /// Waits until every departure recorded so far outlives this process.
+    pub async fn kept(&self) {
+        let recorded = self.local.borrow().recorded;
+        let mut local = self.local.subscribe();
+        let _ = local.wait_for(|local| local.kept >= recorded).await;
     }
 
-    /// Returns the last announcement, with the state overridden by a drain, or `None` if there is none
-    /// or it has expired.
+    /// Returns the last announcement, with the state overridden by a drain, or `None` if there is none,
+    /// it has expired, or departures may be unknown.
     pub fn current(&self) -> Option<Announcement> {
-        self.registration
-            .borrow()
-            .as_ref()
-            .and_then(Registration::current)
+        self.local.borrow().current()
     }
 
     /// Waits until [`Backend::current`] no longer returns `seen`.
     pub async fn changed(&self, seen: Option<&Announcement>) {
-        let mut receiver = self.registration.subscribe();
+        let mut receiver = self.local.subscribe();
         loop {
             let expires = {
-                let registration = receiver.borrow_and_update();
-                if registration
-                    .as_ref()
-                    .and_then(Registration::current)
-                    .as_ref()
-                    != seen
-                {
+                let local = receiver.borrow_and_update();
+                if local.current().as_ref() != seen {
                     return;
                 }
-                registration
-                    .as_ref()
-                    .map(|registration| registration.expires)
+                local.expires()
             };
             match expires.filter(|expires| *expires > Instant::now()) {
                 Some(expires) => tokio::select! {
--- a/crates/call/tests/backend.rs
+++ b/crates/call/tests/backend.rs
@@ -1,7 +1,9 @@
 //! An operator's drain takes precedence over the upstream's announcements.
 
+use std::time::Duration;
+
 use call::{Announcement, Backend, Readiness};
-use model::{Incarnation, Millis};
+use model::{Departures, Incarnation, Millis, UnixMillis};
 
 fn ready(port: u16) -> Announcement {
     Announcement {
@@ -47,3 +49,80 @@
     backend.announce(restarted);
     assert_eq!(state(&backend), Some(Readiness::Ready));
 }
+
+fn instance(id: &str, start: u64, sequence: u64) -> Announcement {
+    Announcement {
+        instance: Some(id.parse().expect("a valid id")),
+        start: Incarnation::new(start),
+        sequence,
+        ..ready(1)
+    }
+}
+
+fn departures(id: &str, until: u64) -> Departures {
+    let mut departures = Departures::default();
+    let id = id.parse().expect("a valid id");
+    departures.record(&id, Incarnation::new(until), UnixMillis::now());
+    departures
+}
+
+/// Guards against an upstream that a daemon uses before it knows what its predecessor acknowledged.
+#[tokio::test(start_paused = true)]
+async fn upstream_is_used_only_once_earlier_departures_are_known() {
+    let backend = Backend::open_recovering(Millis::new(3_000));
+    backend.announce(instance("i-1", 1, 7));
+    assert_eq!(state(&backend), None);
+    backend.adopt(&departures("i-1", 1));
+    backend.recovered();
+    assert_eq!(state(&backend), Some(Readiness::Draining));
+    // Its next boot is used at once, under the same id or another.
+    backend.announce(instance("i-1", 2, 1));
+    assert_eq!(state(&backend), Some(Readiness::Ready));
+    backend.announce(instance("i-2", 3, 1));
+    assert_eq!(state(&backend), Some(Readiness::Ready));
+}
+
+#[tokio::test(start_paused = true)]
+async fn departure_that_is_learnt_late_drains_the_upstream() {
+    let backend = Backend::open(Millis::new(3_000));
+    backend.announce(instance("i-1", 1, 7));
+    let seen = backend.current();
+    backend.adopt(&departures("i-1", 1));
+    backend.changed(seen.as_ref()).await;
+    assert_eq!(state(&backend), Some(Readiness::Draining));
+    backend.announce(instance("i-1", 1, 8));
+    assert_eq!(state(&backend), Some(Readiness::Draining));
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_way_of_leaving_is_to_be_kept() {
+    let leave: [fn(&Backend); 4] = [
+        |backend| {
+            backend.deregister(&"i-1".parse().expect("a valid id"), None);
+        },
+        |backend| {
+            backend.deregister(&"i-0".parse().expect("a valid id"), None);
+        },
+        |backend| {
+            backend.announce(Announcement {
+                state: Readiness::Draining,
+                ..instance("i-1", 1, 8)
+            });
+        },
+        |backend| {
+            backend.drain();
+        },
+    ];
+    for leave in leave {
+        let backend = Backend::open(Millis::new(3_000));
+        backend.announce(instance("i-1", 1, 7));
+        backend.kept().await;
+        leave(&backend);
+        let (departures, recorded) = backend.unkept().await;
+        assert_eq!(departures.iter().count(), 1);
+        let kept = tokio::time::timeout(Duration::from_secs(1), backend.kept()).await;
+        assert!(kept.is_err());
+        backend.mark_kept(recorded);
+        backend.kept().await;
+    }
+}
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -186,6 +186,7 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,6 +23,7 @@
 
 use crate::counted::CountedStore;
 use crate::crashes::share_crashes;
+use crate::departures::{adopt_departures, keep_departures};
 use crate::{Settings, SpawnError};
 
 /// Time between the announcement of the departure and the refusal of calls, so that other daemons
@@ -69,7 +70,7 @@
     admin: HttpServer,
     announce: HttpServer,
     watcher: JoinHandle<()>,
-    sharing: AbortHandle,
+    sharing: [AbortHandle; 3],
     log: Logger,
 }
 
@@ -210,7 +211,14 @@
             log: log.clone(),
         };
         let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
-        let sharing = tokio::spawn(share_crashes(crashes, Arc::clone(&table))).abort_handle();
+        // The membership record reaches the relays, which is all that is known of its being kept here.
+        let kept = keep_departures(Arc::clone(&backend), Arc::clone(&table), async |_| ());
+        let adopted = adopt_departures(Arc::clone(&backend), Arc::clone(&table));
+        let sharing = [
+            tokio::spawn(share_crashes(crashes, Arc::clone(&table))).abort_handle(),
+            tokio::spawn(kept).abort_handle(),
+            tokio::spawn(adopted).abort_handle(),
+        ];
         info!(log, "daemon started";
             "caller" => %addresses.caller, "gate" => %addresses.gate, "fleet" => %addresses.fleet,
             "admin" => %addresses.admin, "announce" => %addresses.announce);
@@ -249,7 +257,9 @@
     pub async fn stop(self) -> StopReport {
         info!(self.log, "daemon stops");
         self.watcher.abort();
-        self.sharing.abort();
+        for task in &self.sharing {
+            task.abort();
+        }
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         sleep(DEPARTURE_NOTICE).await;
@@ -338,6 +348,7 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -22,6 +22,7 @@
 use crate::counted::CountedStore;
 use crate::crashes::share_crashes;
 use crate::daemon::{Addresses, Listeners, ingress_settings, local_record, watch_backend};
+use crate::departures::{adopt_departures, keep_departures};
 use crate::{Settings, SpawnError, StopReport};
 
 /// Time after the stop signal for callers to find the daemon not ready and move to another one.
@@ -99,7 +100,7 @@
         let store: Arc<dyn Store> = Arc::new(CountedStore::open(adapters.store, &registry)?);
         let members = Arc::new(Members::open(local_record(&settings, &addresses)));
         let table = Arc::new(Table::open(members));
-        let backend = Backend::open(settings.upstream.silence);
+        let backend = Backend::open_recovering(settings.upstream.silence);
         let follower = Follower::spawn(
             follow::Settings {
                 key: settings.fleet.key.clone(),
@@ -139,8 +140,18 @@
         let ready = ready_check(&follower, &stopping);
         let endpoints = adapters.endpoints;
         let watcher = tokio::spawn(watch_backend(Arc::clone(&backend), Arc::clone(&table)));
-        let mut tasks =
-            vec![endpoints.serve_announcements(listeners.announce, backend, log.clone())];
+        let adopting = adopt_departures(Arc::clone(&backend), Arc::clone(&table));
+        let mut tasks = vec![
+            tokio::spawn(use_once_recovered(
+                Arc::clone(&backend),
+                Arc::clone(&table),
+                Arc::clone(&follower),
+            ))
+            .abort_handle(),
+            tokio::spawn(adopting).abort_handle(),
+            spawn_keeper(&backend, &table, &follower),
+            endpoints.serve_announcements(listeners.announce, backend, log.clone()),
+        ];
         if let Some(listener) = listeners.ready {
             tasks.push(endpoints.serve_readiness(listener, ready));
         }
@@ -200,6 +211,25 @@
     }
 }
 
+/// Lets the upstream be used once the departures that earlier daemons on this VM acknowledged are known.
+async fn use_once_recovered(backend: Arc<Backend>, table: Arc<Table>, follower: Arc<Follower>) {
+    follower.recovered().await;
+    backend.adopt(&table.members().own().departures);
+    backend.recovered();
+}
+
+/// Starts to keep the departures of the upstream in the store or at peers.
+fn spawn_keeper(
+    backend: &Arc<Backend>,
+    table: &Arc<Table>,
+    follower: &Arc<Follower>,
+) -> AbortHandle {
+    let follower = Arc::clone(follower);
+    let keep = async move |counter| follower.keep(counter).await;
+    let kept = keep_departures(Arc::clone(backend), Arc::clone(table), keep);
+    tokio::spawn(kept).abort_handle()
+}
+
 fn ready_check(follower: &Arc<Follower>, stopping: &Arc<AtomicBool>) -> ReadyCheck {
     let follower = Arc::clone(follower);
     let stopping = Arc::clone(stopping);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod counted;
 mod crashes;
 mod daemon;
+mod departures;
 mod direct;
 mod error;
 mod settings;
--- /dev/null
+++ b/crates/follow/src/keep.rs
@@ -0,0 +1,119 @@
+//! Keeps the local record where a daemon that starts on this VM finds it, and finds that of its predecessors.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use model::UnixMillis;
+use slog::{info, warn};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use crate::holders::{Copies, HOLDERS, Inquiry, holders};
+use crate::node::Shared;
+
+/// Time in which the store and peers usually answer.
+const USUAL_TIME: Duration = Duration::from_millis(250);
+
+/// Pause before all peers are told or asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time from the start of a daemon after which it no longer asks for its predecessors. A heartbeat that was sent to one
+/// of them has arrived by then.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Returns the addresses of the peers that hold the local record, in order.
+fn addresses(shared: &Shared) -> Vec<SocketAddr> {
+    let members = shared.directory.table().members();
+    let all = members.all();
+    let holders = holders(&members.own(), &all, UnixMillis::now());
+    holders.iter().map(|holder| holder.fleet).collect()
+}
+
+/// Waits until the local record with `counter` is kept in the store or by peers.
+pub(crate) async fn keep(shared: &Arc<Shared>, counter: u64) {
+    let started = Instant::now();
+    let mut written = shared.written.subscribe();
+    let mut copies = Copies::default();
+    loop {
+        let peers = addresses(shared);
+        copies.known = peers.len();
+        copies.peers = 0;
+        let mut left = peers.into_iter();
+        let mut calls = JoinSet::new();
+        loop {
+            while calls.len() + copies.peers < HOLDERS
+                && let Some(address) = left.next()
+            {
+                let exchange = shared.exchange.clone();
+                calls.spawn(async move { exchange.tell(address).await });
+            }
+            let patient = started.elapsed() < USUAL_TIME;
+            if copies.suffice(patient) {
+                calls.detach_all();
+                info!(shared.log, "record kept"; "counter" => counter, "in_store" => copies.in_store,
+                    "peers" => copies.peers, "took_ms" => started.elapsed().as_millis() as u64);
+                return;
+            }
+            tokio::select! {
+                Some(answered) = calls.join_next() => {
+                    copies.peers += usize::from(matches!(answered, Ok(true)));
+                }
+                Ok(_) = written.wait_for(|written| *written >= counter), if !copies.in_store => {
+                    copies.in_store = true;
+                }
+                () = sleep_until(started + USUAL_TIME), if patient => {}
+                () = sleep(RETRY_PAUSE), if calls.is_empty() => break,
+            }
+        }
+    }
+}
+
+/// Learns what earlier daemons on this VM acknowledged, from the store and from the peers that hold their records.
+pub(crate) async fn recover(shared: Arc<Shared>) {
+    let started = Instant::now();
+    let deadline = started + RECOVERY_LIMIT;
+    match timeout_at(deadline, inquire(&shared)).await {
+        Ok(inquiry) => info!(shared.log, "earlier records found"; "store" => inquiry.store_read,
+            "peers" => inquiry.answered, "known" => inquiry.known,
+            "took_ms" => started.elapsed().as_millis() as u64),
+        Err(_) => {
+            warn!(shared.log, "earlier records of this VM may be unknown: too few peers answer";
+            "took_ms" => started.elapsed().as_millis() as u64)
+        }
+    }
+    shared.recovered.send_replace(true);
+}
+
+async fn inquire(shared: &Arc<Shared>) -> Inquiry {
+    let mut known = shared.exchange.members_known.subscribe();
+    loop {
+        // The sender lives as long as `shared`.
+        let _ = known.wait_for(|known| *known).await;
+        let peers = addresses(shared);
+        let mut inquiry = Inquiry {
+            known: peers.len(),
+            ..Inquiry::default()
+        };
+        for group in peers.chunks(HOLDERS) {
+            let mut calls = JoinSet::new();
+            for address in group {
+                let (exchange, address) = (shared.exchange.clone(), *address);
+                calls.spawn(async move { exchange.ask(address).await });
+            }
+            let answers = calls.join_all().await;
+            inquiry.asked += answers.len();
+            inquiry.answered += answers.into_iter().filter(|answered| *answered).count();
+            inquiry.store_read = shared.members_read.load(Ordering::Relaxed);
+            if inquiry.is_complete() {
+                return inquiry;
+            }
+        }
+        inquiry.store_read = shared.members_read.load(Ordering::Relaxed);
+        if inquiry.is_complete() {
+            return inquiry;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -7,14 +7,16 @@
 //!
 //! Decisions are separate from sockets and clocks: the selection of relays ([`relays`]), the next read of
 //! the store ([`schedule`]), the next call for the local record ([`publisher`]), the changes that a relay
-//! sends ([`feed`]), the checks that no change was missed ([`confirmation`]), the expiry of members ([`suspects`])
-//! and the entries to delete ([`outdated`]).
+//! sends ([`feed`]), the checks that no change was missed ([`confirmation`]), the expiry of members ([`suspects`]),
+//! the entries to delete ([`outdated`]) and the peers that hold a daemon's record ([`holders`]).
 
 mod config;
 pub mod confirmation;
 mod error;
 pub mod feed;
 mod format;
+pub mod holders;
+mod keep;
 mod members;
 mod metrics;
 mod node;
--- a/crates/follow/src/node.rs
+++ b/crates/follow/src/node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use member::UpstreamState;
-use model::{Millis, Secret, Version};
+use model::{Departures, Millis, Secret, Version};
 use prometheus::Registry;
 use rand::RngExt;
 use slog::{Logger, info, warn};
@@ -18,6 +18,7 @@
 use wire::{FleetKey, fleet};
 
 use crate::config::Installer;
+use crate::keep::{keep, recover};
 use crate::members::{self, Directory};
 use crate::metrics::FollowerMetrics;
 use crate::outdated::outdated;
@@ -77,6 +78,10 @@
     pub(crate) members_read: AtomicBool,
     /// Whether the publisher's last call to the store succeeded.
     pub(crate) store_up: watch::Sender<bool>,
+    /// Counter of the local record that was last written to the store.
+    pub(crate) written: watch::Sender<u64>,
+    /// Whether what earlier daemons on this VM acknowledged is known.
+    pub(crate) recovered: watch::Sender<bool>,
     /// Ends the publisher after it has written the departure of the daemon.
     leaving: Notify,
     pub(crate) log: Logger,
@@ -104,6 +109,7 @@
             topics: Arc::default(),
             key: key.clone(),
             newer_offered: Arc::default(),
+            members_known: Arc::default(),
             log: log.clone(),
         };
         let shared = Arc::new(Shared {
@@ -114,6 +120,8 @@
             relay_client: RelayClient::new(key, log.clone()),
             members_read: AtomicBool::new(false),
             store_up: watch::Sender::new(true),
+            written: watch::Sender::new(0),
+            recovered: watch::Sender::new(false),
             leaving: Notify::new(),
             log,
         });
@@ -126,6 +134,7 @@
             tokio::spawn(exchange.clone().probe_suspects()).abort_handle(),
             tokio::spawn(retire_outdated(Arc::clone(&shared))).abort_handle(),
             tokio::spawn(report_unconfirmed(Arc::clone(&shared))).abort_handle(),
+            tokio::spawn(recover(Arc::clone(&shared))).abort_handle(),
             tokio::spawn(exchange_periodically(
                 Arc::clone(&shared),
                 settings.exchange,
@@ -141,6 +150,18 @@
         has_config && self.shared.members_read.load(Ordering::Relaxed)
     }
 
+    /// Waits until what earlier daemons on this VM acknowledged is known, or cannot be found any more.
+    pub async fn recovered(&self) {
+        let mut recovered = self.shared.recovered.subscribe();
+        // The sender lives as long as `self`.
+        let _ = recovered.wait_for(|recovered| *recovered).await;
+    }
+
+    /// Waits until the local record with `counter` is kept where a daemon that starts on this VM finds it.
+    pub async fn keep(&self, counter: u64) {
+        keep(&self.shared, counter).await;
+    }
+
     /// Registers metrics on the version in force, the members and the store.
     ///
     /// # Errors
@@ -224,6 +245,8 @@
         let now = Instant::now();
         let awaits_announcement =
             record.state == UpstreamState::Absent && now < announcement_deadline;
+        // A departure is acknowledged only once it is kept.
+        let awaits_announcement = awaits_announcement && record.departures == Departures::default();
         let step = match publisher.next(record.counter, now) {
             Step::Grant if awaits_announcement => Step::Wait(announcement_deadline),
             step => step,
@@ -288,7 +311,10 @@
         Step::Write { lease, expect } => {
             let value = members::encode(record);
             match shared.store.put(&key, value, expect, Some(lease)).await? {
-                Put::Done(revision) => publisher.written(record.counter, revision),
+                Put::Done(revision) => {
+                    publisher.written(record.counter, revision);
+                    shared.written.send_replace(record.counter);
+                }
                 Put::Conflict => publisher.mark_key_unknown(),
             }
         }
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use member::{Buckets, Record};
-use model::{UnixMillis, Version};
+use member::{Buckets, Record, departures_from_wire, departures_to_wire};
+use model::{UnixMillis, Version, VmId};
 use rand::seq::IndexedRandom;
-use slog::{Logger, debug};
+use slog::{Logger, debug, warn};
 use store::{Era, Revision};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -20,7 +20,7 @@
 use wire::fleet::peers_client::PeersClient;
 use wire::fleet::peers_server::{Peers, PeersServer};
 use wire::fleet::{
-    Entry, ExchangeReply, ExchangeRequest, Records, Topic, WatchReply, WatchRequest,
+    self, Entry, ExchangeReply, ExchangeRequest, Records, Topic, WatchReply, WatchRequest,
 };
 use wire::{FleetKey, endpoint};
 
@@ -53,6 +53,8 @@
     pub(crate) key: FleetKey,
     /// Triggers an exchange when a caller has a newer version.
     pub(crate) newer_offered: Arc<Notify>,
+    /// Whether the membership has been read, from the store, a relay or a peer.
+    pub(crate) members_known: Arc<watch::Sender<bool>>,
     pub(crate) log: Logger,
 }
 
@@ -65,6 +67,10 @@
         let request = request.into_inner();
         let theirs = Version::new(request.version);
         let members = self.directory.table().members();
+        if !request.departures_of.is_empty() {
+            self.take_over(request.caller);
+            return Ok(Response::new(self.departures_of(&request.departures_of)));
+        }
         let differing = Buckets::from_wire(request.digests)
             .map(|digests| members.buckets().differing(&digests))
             .unwrap_or_default();
@@ -73,16 +79,12 @@
         if theirs > self.installer.version() {
             self.newer_offered.notify_one();
         }
-        if let Some(caller) = request
-            .caller
-            .and_then(|record| Record::try_from(record).ok())
-        {
-            self.directory.merge(vec![caller]);
-        }
+        let caller = self.take_over(request.caller);
+        let caller = caller.as_ref().map_or("", VmId::as_str);
         Ok(Response::new(ExchangeReply {
-            version: self.installer.version().get(),
             config,
             records: Some(to_wire(&records)),
+            ..self.departures_of(caller)
         }))
     }
 
@@ -137,6 +139,26 @@
 }
 
 impl Exchange {
+    /// Merges the record of a caller, and returns the VM of the caller.
+    fn take_over(&self, caller: Option<fleet::Record>) -> Option<VmId> {
+        let caller = Record::try_from(caller?).ok()?;
+        let vm = caller.vm.clone();
+        self.directory.merge(vec![caller]);
+        Some(vm)
+    }
+
+    /// Returns a reply with the departures known of `vm`.
+    fn departures_of(&self, vm: &str) -> ExchangeReply {
+        let members = self.directory.table().members();
+        let known = vm.parse().ok().and_then(|vm| members.get(&vm));
+        let departures = known.map(|known| departures_to_wire(&known.departures));
+        ExchangeReply {
+            version: self.installer.version().get(),
+            departures: departures.unwrap_or_default(),
+            ..ExchangeReply::default()
+        }
+    }
+
     /// Returns the state of `topic`.
     pub(crate) fn topic_state(&self, topic: Topic) -> &TopicState {
         match topic {
@@ -212,7 +234,28 @@
 
     /// Exchanges with the daemon at `address`; returns whether it responded.
     pub(crate) async fn exchange_with(&self, address: SocketAddr) -> bool {
-        match timeout(EXCHANGE_TIMEOUT, self.call(address)).await {
+        self.exchange_by(address, Self::whole_request).await
+    }
+
+    /// Tells the daemon at `address` the local record; returns whether it has taken it over.
+    pub(crate) async fn tell(&self, address: SocketAddr) -> bool {
+        self.exchange_by(address, Self::telling_request).await
+    }
+
+    /// Asks the daemon at `address` for the departures that it knows of this VM; returns whether it responded.
+    ///
+    /// The local record is not told: as long as the others hold that of the predecessor, they use the upstream as soon as
+    /// this daemon does.
+    pub(crate) async fn ask(&self, address: SocketAddr) -> bool {
+        self.exchange_by(address, Self::asking_request).await
+    }
+
+    async fn exchange_by(
+        &self,
+        address: SocketAddr,
+        request: impl FnOnce(&Self) -> ExchangeRequest,
+    ) -> bool {
+        match timeout(EXCHANGE_TIMEOUT, self.call(address, request)).await {
             Ok(Ok(reply)) => {
                 self.apply_reply(address, reply);
                 true
@@ -228,18 +271,50 @@
         }
     }
 
-    async fn call(&self, address: SocketAddr) -> Result<ExchangeReply, Status> {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        request: impl FnOnce(&Self) -> ExchangeRequest,
+    ) -> Result<ExchangeReply, Status> {
+        let mut client = client(address).await?;
+        // The request states the local record as it is once the connection is there.
+        let request = self.key.authorized(request(self));
+        Ok(client.exchange(request).await?.into_inner())
+    }
+
+    fn whole_request(&self) -> ExchangeRequest {
         let members = self.directory.table().members();
-        let request = self.key.authorized(ExchangeRequest {
+        ExchangeRequest {
             caller: Some((&members.own()).into()),
             version: self.installer.version().get(),
             digests: members.buckets().as_slice().to_vec(),
-        });
-        let reply = client(address).await?.exchange(request).await?;
-        Ok(reply.into_inner())
+            departures_of: String::new(),
+        }
+    }
+
+    fn telling_request(&self) -> ExchangeRequest {
+        ExchangeRequest {
+            caller: Some((&self.directory.table().members().own()).into()),
+            ..self.asking_request()
+        }
+    }
+
+    fn asking_request(&self) -> ExchangeRequest {
+        ExchangeRequest {
+            departures_of: self.directory.table().members().own().vm.to_string(),
+            ..ExchangeRequest::default()
+        }
     }
 
     fn apply_reply(&self, address: SocketAddr, reply: ExchangeReply) {
+        match departures_from_wire(&reply.departures) {
+            Some(departures) => self.directory.adopt(&departures),
+            None => {
+                warn!(self.log, "departures of this VM skipped: they cannot be read; check that both daemons run one release";
+                "peer" => %address)
+            }
+        }
+        let is_whole = reply.records.is_some();
         if let Some(config) = &reply.config {
             self.installer.offer_packed(config, "peer");
         }
@@ -257,6 +332,9 @@
             }
         }
         self.directory.merge(records);
+        if is_whole {
+            self.members_known.send_replace(true);
+        }
     }
 
     /// Returns the address of a random peer that is alive or ended recently and may have restarted.
@@ -290,7 +368,7 @@
 }
 
 /// Returns whether the daemon of `record` is alive or may have restarted.
-fn may_be_running(record: &Record, now: UnixMillis) -> bool {
+pub(crate) fn may_be_running(record: &Record, now: UnixMillis) -> bool {
     let ended = record.ended.filter(|_| !record.is_alive());
     ended.is_none_or(|at| now.get().abs_diff(at.get()) < RESTART_WINDOW.as_millis() as u64)
 }
--- a/crates/follow/src/topic.rs
+++ b/crates/follow/src/topic.rs
@@ -327,6 +327,7 @@
         Topic::Members => {
             shared.directory.apply_scan(&scan.entries);
             shared.members_read.store(true, Ordering::Relaxed);
+            shared.exchange.members_known.send_replace(true);
             state.apply_scan(&scan.entries, scan.revision);
             false
         }
--- /dev/null
+++ b/crates/follow/tests/holders.rs
@@ -0,0 +1,120 @@
+//! Where a daemon's record is kept, and what a daemon that starts must have heard.
+
+use std::collections::BTreeSet;
+
+use follow::holders::{Copies, HOLDERS, Inquiry, MIN_HOLDERS, holders};
+use member::{Record, UpstreamState};
+use model::{Incarnation, UnixMillis};
+
+const NOW: u64 = 1_800_000_000_000;
+
+fn record(vm: &str, incarnation: u64) -> Record {
+    Record {
+        vm: vm.parse().expect("a valid id"),
+        incarnation: Incarnation::new(incarnation),
+        counter: 1,
+        state: UpstreamState::Ready,
+        service: None,
+        gate: ([127, 0, 0, 1], 1).into(),
+        fleet: ([127, 0, 0, 1], 1).into(),
+        domain: "morava-a".parse().expect("a valid name"),
+        region: "cz-morava".parse().expect("a valid name"),
+        slots: 0,
+        link: None,
+        expired: false,
+        ended: None,
+        crashes: Vec::new(),
+        departures: Default::default(),
+    }
+}
+
+fn names(own: &Record, members: &[Record]) -> Vec<String> {
+    let holders = holders(own, members, UnixMillis::new(NOW));
+    holders.iter().map(|holder| holder.vm.to_string()).collect()
+}
+
+#[test]
+fn daemon_that_starts_asks_those_that_its_predecessor_told() {
+    let members: Vec<Record> = (0..200).map(|i| record(&format!("vm-{i}"), 1)).collect();
+    let told = names(&members[7], &members);
+    assert_eq!(told.len(), 199);
+    // It has another incarnation and state, and learns of the others in another order.
+    let mut others = members.clone();
+    others.reverse();
+    assert_eq!(names(&record("vm-7", 2), &others), told);
+}
+
+#[test]
+fn holders_of_many_vms_are_spread_over_the_fleet() {
+    let members: Vec<Record> = (0..200).map(|i| record(&format!("vm-{i}"), 1)).collect();
+    let first: BTreeSet<String> = members
+        .iter()
+        .flat_map(|own| names(own, &members).into_iter().take(HOLDERS))
+        .collect();
+    assert!(first.len() > 150, "{} holders", first.len());
+}
+
+#[test]
+fn ended_daemons_are_asked_only_while_they_may_have_started_again() {
+    let mut members = vec![record("vm-1", 1), record("vm-2", 1)];
+    members[1].expired = true;
+    members[1].ended = Some(UnixMillis::new(NOW - 1_000));
+    assert_eq!(names(&members[0], &members), ["vm-2"]);
+    members[1].ended = Some(UnixMillis::new(NOW - 600_000));
+    assert!(names(&members[0], &members).is_empty());
+}
+
+/// Guards against a farewell that is acknowledged when only the process that hears it knows.
+#[test]
+fn record_is_kept_by_the_store_and_a_peer_or_by_enough_peers() {
+    let copies = |in_store, peers| Copies {
+        in_store,
+        peers,
+        known: 10,
+    };
+    assert!(copies(true, 1).suffice(true));
+    assert!(!copies(true, 0).suffice(true));
+    assert!(!copies(false, MIN_HOLDERS).suffice(true));
+    // The store or the peers do not answer in the usual time.
+    assert!(copies(true, 0).suffice(false));
+    assert!(copies(false, MIN_HOLDERS).suffice(false));
+    assert!(!copies(false, MIN_HOLDERS - 1).suffice(false));
+    let alone = Copies::default();
+    assert!(!alone.suffice(false));
+    let pair = Copies {
+        known: 1,
+        peers: 1,
+        ..Copies::default()
+    };
+    assert!(pair.suffice(false));
+}
+
+#[test]
+fn whatever_was_kept_by_peers_alone_is_found_by_an_inquiry() {
+    // Any two of the three first holders were told, and any two of them answer.
+    for told in 0..HOLDERS {
+        for silent in 0..HOLDERS {
+            let told: Vec<usize> = (0..HOLDERS).filter(|holder| *holder != told).collect();
+            let mut answered = (0..HOLDERS).filter(|holder| *holder != silent);
+            assert!(answered.any(|holder| told.contains(&holder)));
+        }
+    }
+    let inquiry = |store_read, asked, answered| Inquiry {
+        store_read,
+        known: 10,
+        asked,
+        answered,
+    };
+    assert!(inquiry(true, 3, MIN_HOLDERS).is_complete());
+    assert!(inquiry(false, 3, MIN_HOLDERS).is_complete());
+    assert!(!inquiry(true, 3, MIN_HOLDERS - 1).is_complete());
+    assert!(!inquiry(false, 10, MIN_HOLDERS - 1).is_complete());
+    // The others have ended, so the store's word is all there is.
+    assert!(inquiry(true, 10, 0).is_complete());
+    let alone = Inquiry {
+        store_read: true,
+        ..Inquiry::default()
+    };
+    assert!(alone.is_complete());
+    assert!(!Inquiry::default().is_complete());
+}
--- a/crates/follow/tests/relays.rs
+++ b/crates/follow/tests/relays.rs
@@ -27,6 +27,7 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use buckets::{BucketIndex, Buckets};
 pub use members::{LinkId, MAX_RECORDS, Members, RETENTION, Sequence};
-pub use record::{Record, RecordError, UpstreamState};
+pub use record::{Record, RecordError, UpstreamState, departures_from_wire, departures_to_wire};
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -77,7 +77,15 @@
     pub fn merge(&self, records: Vec<Record>, link: LinkId) -> Vec<Record> {
         let mut inner = self.lock();
         let mut updated = Vec::new();
+        let now = UnixMillis::now();
         for mut record in records {
+            // Departures outlive the record that names them, whichever of the records goes first.
+            if inner.merge_departures(&mut record, now) && record.vm == self.local_vm {
+                let mut own = inner.records[&self.local_vm].record.clone();
+                own.counter += 1;
+                inner.set(own.clone(), LinkId::default());
+                updated.push(own);
+            }
             if inner.is_outdated(&record) || !inner.make_room(&record.vm) {
                 continue;
             }
@@ -106,8 +114,10 @@
         let mut record = inner.records[&self.local_vm].record.clone();
         update(&mut record);
         record.counter += 1;
+        let now = UnixMillis::now();
         let left = record.state == UpstreamState::Left;
-        record.ended = left.then(UnixMillis::now);
+        record.ended = left.then_some(now);
+        record.departures.evict(now);
         inner.set(record.clone(), LinkId::default());
         let last = inner.last;
         drop(inner);
@@ -276,6 +286,18 @@
         }
     }
 
+    /// Adds the departures of `record` and of the stored record of its VM to each other; returns whether the stored one
+    /// has changed.
+    fn merge_departures(&mut self, record: &mut Record, now: UnixMillis) -> bool {
+        let Some(stored) = self.records.get_mut(&record.vm) else {
+            return false;
+        };
+        let departures = &mut stored.record.departures;
+        let changed = departures.merge(&record.departures, now);
+        record.departures.merge(departures, now);
+        changed
+    }
+
     /// Returns whether there is room for a record of `vm`, removing an ended record if necessary.
     fn make_room(&mut self, vm: &VmId) -> bool {
         if self.records.len() < MAX_RECORDS || self.records.contains_key(vm) {
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use model::{
-    CrashId, CrashReport, DomainName, Fingerprint, Incarnation, Involvement, Rate, RegionName,
-    ServiceName, UnixMillis, VmId,
+    CrashId, CrashReport, Departure, Departures, DomainName, Fingerprint, Incarnation, Involvement,
+    Rate, RegionName, ServiceName, UnixMillis, VmId,
 };
 use wire::fleet;
 
@@ -56,6 +56,8 @@
     pub ended: Option<UnixMillis>,
     /// Requests that were in flight when the upstream crashed, with all crashes known of them.
     pub crashes: Vec<CrashReport>,
+    /// Upstreams of the VM that drain or have left, so that a daemon that starts on it does not use them again.
+    pub departures: Departures,
 }
 
 impl Record {
@@ -76,7 +78,8 @@
     /// Returns whether the daemon ended at least `age` before `now`.
     pub(crate) fn ended_before(&self, now: UnixMillis, age: Duration) -> bool {
         let age = age.as_millis() as u64;
-        self.ended.is_some_and(|at| at.get() + age <= now.get())
+        self.ended
+            .is_some_and(|at| at.get().saturating_add(age) <= now.get())
     }
 
     /// Returns whether the daemon has neither left nor expired.
@@ -131,6 +134,8 @@
                 .iter()
                 .map(|report| report_from_wire(report).ok_or_else(|| fail("crash report")))
                 .collect::<Result<_, _>>()?,
+            departures: departures_from_wire(&record.departures)
+                .ok_or_else(|| fail("departure"))?,
         })
     }
 }
@@ -156,10 +161,33 @@
             expired: record.expired,
             ended_ms: record.ended.map_or(0, UnixMillis::get),
             crashes: record.crashes.iter().map(report_to_wire).collect(),
+            departures: departures_to_wire(&record.departures),
         }
     }
 }
 
+/// Returns the departures in a message; `None` if one of them cannot be read.
+pub fn departures_from_wire(departures: &[fleet::Departure]) -> Option<Departures> {
+    let departures = departures.iter().map(|departure| {
+        Some(Departure {
+            instance: departure.instance.parse().ok()?,
+            until: Incarnation::new(departure.until),
+            expires: UnixMillis::new(departure.expires_ms),
+        })
+    });
+    departures.collect()
+}
+
+/// Returns the departures as they stand in messages.
+pub fn departures_to_wire(departures: &Departures) -> Vec<fleet::Departure> {
+    let departures = departures.iter().map(|departure| fleet::Departure {
+        instance: departure.instance.to_string(),
+        until: departure.until.get(),
+        expires_ms: departure.expires.get(),
+    });
+    departures.collect()
+}
+
 fn report_from_wire(report: &fleet::CrashReport) -> Option<CrashReport> {
     Some(CrashReport {
         request: Fingerprint::from_slice(&report.request)?,
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -21,6 +21,7 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
@@ -148,3 +149,51 @@
             .is_empty()
     );
 }
+
+fn leaving(mut record: Record, instance: &str) -> Record {
+    let instance = instance.parse().expect("a valid id");
+    let until = Incarnation::new(7);
+    record
+        .departures
+        .record(&instance, until, UnixMillis::now());
+    record
+}
+
+fn departed(members: &Members, vm: &str) -> Vec<String> {
+    let record = members.get(&vm.parse().expect("a valid id"));
+    let departures = record.expect("a record").departures;
+    departures
+        .iter()
+        .map(|departure| departure.instance.to_string())
+        .collect()
+}
+
+/// Guards against a departure that is lost when the daemon that starts on the VM publishes its own record first.
+#[test]
+fn departures_outlive_the_record_that_names_them() {
+    let members = Members::open(record("a-0", "galleys", 1));
+    let mut next = record("a-1", "galleys", 1);
+    next.incarnation = Incarnation::new(2);
+    members.merge(vec![leaving(record("a-1", "galleys", 3), "i-1")], LINK);
+    members.merge(vec![next.clone()], LINK);
+    assert_eq!(departed(&members, "a-1"), ["i-1"]);
+    // An older record that comes behind the newer one.
+    members.merge(vec![leaving(record("a-1", "galleys", 2), "i-2")], LINK);
+    assert_eq!(departed(&members, "a-1"), ["i-1", "i-2"]);
+    let known = members.get(&next.vm).expect("a record");
+    assert_eq!(known.incarnation, next.incarnation);
+}
+
+#[test]
+fn departures_in_an_earlier_record_of_the_local_vm_are_published_again() {
+    let mut own = record("a-0", "galleys", 1);
+    own.incarnation = Incarnation::new(9);
+    let members = Members::open(own);
+    let updated = members.merge(vec![leaving(record("a-0", "galleys", 5), "i-1")], LINK);
+    assert_eq!(updated.len(), 1);
+    assert_eq!(departed(&members, "a-0"), ["i-1"]);
+    assert_eq!(members.own().counter, 2);
+    assert_eq!(members.own().incarnation, Incarnation::new(9));
+    let updated = members.merge(vec![leaving(record("a-0", "galleys", 5), "i-1")], LINK);
+    assert_eq!(updated, []);
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 mod collect;
 mod config;
 mod crash;
+mod departure;
 mod digest;
 mod intern;
 mod limits;
@@ -23,6 +24,7 @@
     Target,
 };
 pub use crash::{CrashError, CrashId, CrashReport, Fingerprint, Involvement};
+pub use departure::{DEPARTURE_TTL_MS, Departure, Departures, MAX_DEPARTURES};
 pub use digest::Digest;
 pub use limits::ConnectionLimits;
 pub use lock::lock;
--- a/crates/proof/tests/chain/mod.rs
+++ b/crates/proof/tests/chain/mod.rs
@@ -83,5 +83,6 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
--- a/crates/spread/tests/nodes/support.rs
+++ b/crates/spread/tests/nodes/support.rs
@@ -87,6 +87,7 @@
             expired: false,
             ended: None,
             crashes: Vec::new(),
+            departures: Default::default(),
         };
         let settings = Settings {
             vm: record.vm.clone(),
--- a/crates/table/tests/step.rs
+++ b/crates/table/tests/step.rs
@@ -37,6 +37,7 @@
         expired: false,
         ended: None,
         crashes: Vec::new(),
+        departures: Default::default(),
     }
 }
 
