Do not read membership records with impossible numbers

Cause: the VM raised its incarnation above that of the entry, which wrapped to 0 (in a build with overflow checks the task that follows the membership ended). The others kept the entry, as nothing is newer. ended_ms was added to in the same way.

--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -10,6 +10,13 @@
 };
 use wire::fleet;
 
+/// Latest incarnation that a daemon can have, in milliseconds since the Unix epoch: the year 2200. The next one above it
+/// can be formed.
+const MAX_INCARNATION: u64 = 7_258_118_400_000;
+
+/// Largest counter that a daemon can reach. The next one above it can be formed.
+const MAX_COUNTER: u64 = 1 << 48;
+
 /// State of the upstream of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -115,6 +122,12 @@
             "" => None,
             name => Some(name.parse().map_err(|_| fail("service"))?),
         };
+        if record.incarnation > MAX_INCARNATION {
+            return Err(fail("incarnation"));
+        }
+        if record.counter > MAX_COUNTER {
+            return Err(fail("counter"));
+        }
         Ok(Self {
             vm: record.vm.parse().map_err(|_| fail("vm"))?,
             incarnation: Incarnation::new(record.incarnation),
