Do not let stray heartbeats take the place of an upstream

A heartbeat for a service that does not exist, with a start of now, took the place as well.

While an upstream of a service that the configuration uses lives, one of a service that it does not use does not replace it.

--- a/crates/call/src/backend.rs
+++ b/crates/call/src/backend.rs
@@ -6,6 +6,7 @@
 
 use model::{Departures, Incarnation, InstanceId, Millis, ServiceName, UnixMillis};
 use serde::{Deserialize, Serialize};
+use table::Table;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -144,6 +145,8 @@
 #[derive(Debug)]
 pub struct Backend {
     silence: Millis,
+    /// Configuration that tells which services there are, if it is checked.
+    table: Option<Arc<Table>>,
     local: watch::Sender<Local>,
 }
 
@@ -152,15 +155,22 @@
     pub fn open(silence: Millis) -> Arc<Self> {
         Arc::new(Self {
             silence,
+            table: None,
             local: watch::Sender::new(Local::default()),
         })
     }
 
-    /// Creates a backend like [`Backend::open`] whose upstreams are not used before [`Backend::recovered`] is called.
-    pub fn open_recovering(silence: Millis) -> Arc<Self> {
-        let backend = Self::open(silence);
-        backend.local.send_modify(|local| local.recovering = true);
-        backend
+    /// Creates a backend like [`Backend::open`] whose upstreams are not used before [`Backend::recovered`] is called, and
+    /// are not replaced by those of services that `table` does not use.
+    pub fn open_recovering(silence: Millis, table: Arc<Table>) -> Arc<Self> {
+        Arc::new(Self {
+            silence,
+            table: Some(table),
+            local: watch::Sender::new(Local {
+                recovering: true,
+                ..Local::default()
+            }),
+        })
     }
 
     /// Uses the upstream from now on: the departures that earlier daemons on this VM acknowledged are known.
@@ -188,7 +198,7 @@
                 announcement.is_stale(&old.announcement)
                     && (same || now < old.expires + STALE_WINDOW)
             });
-            if late {
+            if late || old.is_some_and(|old| self.is_stray(&announcement, old)) {
                 return local.recorded > recorded;
             }
             let force_drain = local.has_left(&announcement)
@@ -204,6 +214,18 @@
         });
     }
 
+    /// Returns whether `announcement` is for a service that does not exist, while the registered upstream's does.
+    fn is_stray(&self, announcement: &Announcement, registered: &Registration) -> bool {
+        let known = &registered.announcement;
+        if announcement.instance == known.instance || registered.expires <= Instant::now() {
+            return false;
+        }
+        let snapshot = self.table.as_ref().map(|table| table.snapshot());
+        snapshot.is_some_and(|snapshot| {
+            snapshot.uses(&known.service) && !snapshot.uses(&announcement.service)
+        })
+    }
+
     /// Deregisters the upstream `instance`; returns whether it was registered. `incarnation` is the
     /// departing incarnation, if it is stated.
     ///
--- a/crates/call/tests/backend.rs
+++ b/crates/call/tests/backend.rs
@@ -1,9 +1,12 @@
 //! An operator's drain takes precedence over the upstream's announcements.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use call::{Announcement, Backend, Readiness};
+use member::{Members, Record, UpstreamState};
 use model::{Departures, Incarnation, Millis, UnixMillis};
+use table::Table;
 
 fn ready(port: u16) -> Announcement {
     Announcement {
@@ -66,10 +69,31 @@
     departures
 }
 
+fn table() -> Arc<Table> {
+    let own = Record {
+        vm: "a-1".parse().expect("a valid id"),
+        incarnation: Incarnation::new(1),
+        counter: 1,
+        state: UpstreamState::Absent,
+        service: None,
+        gate: ([127, 0, 0, 1], 1).into(),
+        fleet: ([127, 0, 0, 1], 1).into(),
+        domain: "morava-a".parse().expect("a valid name"),
+        region: "cz-morava".parse().expect("a valid name"),
+        slots: 0,
+        link: None,
+        expired: false,
+        ended: None,
+        crashes: Vec::new(),
+        departures: Default::default(),
+    };
+    Arc::new(Table::open(Arc::new(Members::open(own))))
+}
+
 /// Guards against an upstream that a daemon uses before it knows what its predecessor acknowledged.
 #[tokio::test(start_paused = true)]
 async fn upstream_is_used_only_once_earlier_departures_are_known() {
-    let backend = Backend::open_recovering(Millis::new(3_000));
+    let backend = Backend::open_recovering(Millis::new(3_000), table());
     backend.announce(instance("i-1", 1, 7));
     assert_eq!(state(&backend), None);
     backend.adopt(&departures("i-1", 1));
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -100,7 +100,7 @@
         let store: Arc<dyn Store> = Arc::new(CountedStore::open(adapters.store, &registry)?);
         let members = Arc::new(Members::open(local_record(&settings, &addresses)));
         let table = Arc::new(Table::open(members));
-        let backend = Backend::open_recovering(settings.upstream.silence);
+        let backend = Backend::open_recovering(settings.upstream.silence, Arc::clone(&table));
         let follower = Follower::spawn(
             follow::Settings {
                 key: settings.fleet.key.clone(),
--- a/crates/table/src/snapshot.rs
+++ b/crates/table/src/snapshot.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use http::{HeaderMap, Method};
-use model::{ConnectionLimits, Digest, PathMatch, Pool, Route, Service, Version, Weight};
+use model::{
+    ConnectionLimits, Digest, PathMatch, Pool, Route, Service, ServiceName, Version, Weight,
+};
 
 use crate::Upstream;
 
@@ -81,6 +83,11 @@
         &self.pools
     }
 
+    /// Returns whether a route may lead to `service`.
+    pub fn uses(&self, service: &ServiceName) -> bool {
+        self.pools.iter().any(|pool| pool.service.name == *service)
+    }
+
     /// Returns the routes.
     pub fn routes(&self) -> &[Arc<RouteTable>] {
         &self.routes
