Read a connection on until its last response has been taken

Cause: a stopping daemon closed a connection as soon as its last response was in the kernel's buffer. A request that crossed it reached a closed socket; the reset that answers it discards what the caller has not read.

Ruled out: the HTTP library's flush (it is done, the bytes are in the kernel), the abort at the end of the stop (seconds later).

Change: after its last response a connection is read and discarded from until the caller closes it, for 2 s at most. A stop waits for such connections within its limit.

request_that_crosses_the_last_response_does_not_break_it_off failed before ("Connection reset by peer") and passes.

--- a/crates/call/src/pipeline.rs
+++ b/crates/call/src/pipeline.rs
@@ -6,6 +6,7 @@
 //! that the caller has disconnected.
 
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -171,6 +172,20 @@
         }
     }
 
+    /// Discards the available bytes; ready once the caller has closed the connection.
+    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; READ_SIZE];
+        while !self.is_closed {
+            let mut space = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut space) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !space.filled().is_empty() => {}
+                Poll::Ready(_) => self.is_closed = true,
+            }
+        }
+        Poll::Ready(())
+    }
+
     /// Scans the bytes from position `from` on for requests to start early.
     fn scan(&mut self, from: usize) {
         for head in self.scanner.feed(&self.buffer[from..]) {
@@ -208,6 +223,11 @@
         reader.is_closed
     }
 
+    /// Reads and discards what still arrives, until the caller closes the connection.
+    pub(crate) async fn drain(&self) {
+        poll_fn(|cx| lock(&self.0).poll_drain(cx)).await;
+    }
+
     /// Returns whether the buffer has room for another read.
     fn has_room(&self) -> bool {
         lock(&self.0).buffer.len() < MAX_BUFFER
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -41,6 +41,13 @@
 /// Time without a call after which a stopping server is done, even if connections are still open.
 const QUIET_TIME: Duration = Duration::from_millis(400);
 
+/// Time for which a connection is read on after its last response, unless the caller closes it before. What the caller
+/// sends meanwhile would reset a closed connection, and responses that are still on their way would be lost with it.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Interval of checks whether callers have closed the last connections.
+const LINGER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -49,7 +56,7 @@
 #[error("cannot serve on the listener: {0}")]
 pub struct ServerError(#[from] std::io::Error);
 
-/// Counter of calls in flight, each until the end of its response.
+/// Counter of calls in flight, each until the end of its response, or of lingering connections.
 #[derive(Debug, Clone, Default)]
 struct CallCounter(Arc<AtomicUsize>);
 
@@ -81,6 +88,7 @@
     stop: CancellationToken,
     abort: CancellationToken,
     calls: CallCounter,
+    lingering: CallCounter,
     task: JoinHandle<()>,
 }
 
@@ -105,6 +113,7 @@
             keep_alive_off: CancellationToken::new(),
             abort: CancellationToken::new(),
             calls: CallCounter::default(),
+            lingering: CallCounter::default(),
             handler,
             limits: Box::new(limits),
             log,
@@ -115,6 +124,7 @@
             stop: stop.clone(),
             abort: connections.abort.clone(),
             calls: connections.calls.clone(),
+            lingering: connections.lingering.clone(),
             task: tokio::spawn(run(listener, stop, connections)),
         })
     }
@@ -137,11 +147,17 @@
         self.keep_alive_off.cancel();
         sleep(KEEP_ALIVE_CLOSE_TIME.min(limit / 2)).await;
         self.stop.cancel();
-        let ended = tokio::select! {
-            ended = timeout_at(end, self.task) => ended.is_ok(),
-            () = wait_until_quiet(&self.calls) => true,
+        let done = async {
+            tokio::select! {
+                _ = self.task => {}
+                () = wait_until_quiet(&self.calls) => {}
+            }
+            while self.lingering.count() > 0 {
+                sleep(LINGER_CHECK_INTERVAL).await;
+            }
         };
-        if ended {
+        let ended = timeout_at(end, done).await.is_ok();
+        if ended || self.calls.count() == 0 {
             return 0;
         }
         let aborted = self.calls.count();
@@ -168,6 +184,8 @@
     keep_alive_off: CancellationToken,
     abort: CancellationToken,
     calls: CallCounter,
+    /// Connections that have had their last response.
+    lingering: CallCounter,
     handler: F,
     limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
     log: Logger,
@@ -252,10 +270,11 @@
             .into_owned();
         let driver = Driver {
             connection: Box::pin(self.graceful.watch(connection)),
-            stream,
+            stream: stream.clone(),
         };
         let log = self.log.clone();
         let abort = self.abort.clone();
+        let lingering = self.lingering.clone();
         tokio::spawn(async move {
             let ended = tokio::select! {
                 ended = driver => ended,
@@ -263,6 +282,13 @@
             };
             if let Err(error) = ended {
                 debug!(log, "connection ended"; "error" => %error);
+                return;
+            }
+            let _lingering = lingering.enter();
+            tokio::select! {
+                () = stream.drain() => {}
+                () = sleep(LINGER_TIME) => {}
+                () = abort.cancelled() => {}
             }
         });
     }
--- a/crates/call/tests/stop.rs
+++ b/crates/call/tests/stop.rs
@@ -144,3 +144,44 @@
     assert!(last.contains("connection: close"), "{last}");
     assert_eq!(stopping.await.expect("no panic"), 0);
 }
+
+/// Guards against a last response that is lost on its way: the caller's next request, which crosses it, reset the
+/// connection that the daemon had closed behind it.
+#[tokio::test]
+async fn request_that_crosses_the_last_response_does_not_break_it_off() {
+    const SIZE: usize = 400_000;
+    let upstream = Router::new().fallback(async || vec![b'p'; SIZE]);
+    let node = Node::start("a-1", "proofdesk", 12, serve(upstream).await).await;
+    node.install(&[("/", "proofdesk", Rules::default())]);
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    // The caller takes the response slowly, so most of it is still on its way when the daemon has written it.
+    socket.set_recv_buffer_size(8_192).expect("a small window");
+    let address = node.ingress.address();
+    let mut connection = socket.connect(address).await.expect("a connection");
+    node.ingress.disable_keep_alive();
+    let request = format!("GET / HTTP/1.1\r\nhost: {}\r\n\r\n", support::HOST);
+    connection
+        .write_all(request.as_bytes())
+        .await
+        .expect("an open connection");
+    let mut received = vec![0; 1_024];
+    let read = connection.read(&mut received).await.expect("a response");
+    received.truncate(read);
+    let stopping = tokio::spawn(node.ingress.stop(LIMIT));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    connection
+        .write_all(request.as_bytes())
+        .await
+        .expect("an open connection");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    connection
+        .read_to_end(&mut received)
+        .await
+        .expect("a whole response");
+    let text = String::from_utf8_lossy(&received);
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    assert!(head.contains("connection: close"), "{head}");
+    assert_eq!(body.len(), SIZE);
+    drop(connection);
+    assert_eq!(stopping.await.expect("no panic"), 0);
+}
