Refuse calls that come too late in a stop to be answered

Cause: a stopping daemon took calls until 3.6 s after the signal, although it closes everything at 5.7 s. Its gate took calls of other daemons as long.

Ruled out: the callers (they may stay while most of a zone's daemons stop), the drain of the upstream (it runs on).

Change: from 2.8 s on the ingress refuses new calls as not run, with the time until the next process serves as Retry-After; from 2.2 s on, when the departure is announced, the gate refuses new and waiting calls, which are tried elsewhere. 0.2 s before the end calls in flight are answered, 503 if they were not sent and else 502, instead of a closed connection; that is within the last sixth of the grace period.

--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -484,6 +484,7 @@
         quarantine::write(&self.crashes, call.fingerprint, request.headers_mut());
         let until = call.deadline + RESPONSE_GRACE;
         let in_flight = InFlight::new(Arc::clone(upstream));
+        call.sent.mark();
         let sent = self.connections.send(upstream.gate, request);
         let received = timeout_at(until, sent)
             .await
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -21,6 +21,7 @@
 use crate::backend::{Announcement, Backend, Readiness};
 use crate::body::{Body, GuardedBody, boxed, empty};
 use crate::bounds::timed;
+use crate::closing::Closing;
 use crate::connections::{Connections, InUse};
 use crate::dialect::{Dialect, ResponseCheck};
 use crate::forward::{deadline, for_upstream, reservation, route};
@@ -63,6 +64,7 @@
     uplink: Mutex<Uplink>,
     /// Link of the VM, as loaded by responses.
     downlink: Mutex<Uplink>,
+    closing: Closing,
     /// Whether the last response stated a call limit that cannot be read.
     limit_unreadable: AtomicBool,
     key: Secret,
@@ -117,6 +119,7 @@
             reservations: Reservations::default(),
             uplink: Mutex::new(Uplink::new(link, Instant::now())),
             downlink: Mutex::new(Uplink::new(link, Instant::now())),
+            closing: Closing::default(),
             limit_unreadable: AtomicBool::new(false),
             key,
             dialect,
@@ -331,8 +334,14 @@
         ))
     }
 
+    /// Refuses further calls, and those that wait for a slot, as not run; other gates may take them at once.
+    pub fn refuse_calls(&self) {
+        self.closing.refuse_calls(None);
+    }
+
     /// Returns the upstream's announcement if it accepts calls for the requested service.
     fn check_backend(&self, headers: &HeaderMap) -> Result<Announcement, Refusal> {
+        self.closing.check()?;
         let wanted = headers.get(SERVICE).map(|value| value.as_bytes());
         let announced = self.backend.current();
         let announced = announced.filter(|announced| {
@@ -394,6 +403,7 @@
                     }
                     to_refusal(refused)
                 })?,
+                () = self.closing.refused() => self.closing.check()?,
                 // A draining upstream accepts none of the queued calls.
                 () = self.backend.changed(Some(&announced)) => {
                     announced = self.check_backend(headers)?;
--- a/crates/call/src/ingress.rs
+++ b/crates/call/src/ingress.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::closing::{Closing, Sent};
 use crate::dialect::Dialect;
 use crate::dispatch::{Dispatcher, Origin};
 use crate::payload::Payload;
@@ -25,6 +26,7 @@
     table: Arc<Table>,
     dispatcher: Dispatcher,
     dialect: Arc<dyn Dialect>,
+    closing: Closing,
     metrics: Metrics,
     log: Logger,
 }
@@ -69,6 +71,7 @@
             table,
             dispatcher: Dispatcher::new(origin, crashes, metrics.clone(), log.clone()),
             dialect: settings.dialect,
+            closing: Closing::default(),
             metrics,
             log,
         })
@@ -89,11 +92,27 @@
         })
     }
 
+    /// Refuses further calls as not run, because the process ends at `end`.
+    pub fn refuse_calls(&self, end: Instant) {
+        self.closing.refuse_calls(Some(end));
+    }
+
+    /// Answers the calls in flight that have no response yet with a refusal.
+    pub fn end_calls(&self) {
+        self.closing.end_calls();
+    }
+
     async fn handle(&self, request: Request<Body>) -> Response<Body> {
         let arrived = Instant::now();
+        let sent = Sent::default();
         let id = request.headers().get(self.dialect.request_id_header());
         let id = id.cloned().unwrap_or_else(random_id);
-        let mut response = match self.forward(request, &id, arrived).await {
+        let forwarded = tokio::select! {
+            biased;
+            forwarded = self.forward(request, &id, arrived, &sent) => forwarded,
+            refusal = self.closing.ended(&sent) => Err(refusal),
+        };
+        let mut response = match forwarded {
             Ok(response) => response,
             Err(refusal) => {
                 info!(self.log, "call refused"; "request" => id.to_str().unwrap_or("unprintable"),
@@ -124,10 +143,13 @@
         request: Request<Body>,
         id: &HeaderValue,
         arrived: Instant,
+        sent: &Sent,
     ) -> Result<Response<Body>, Refusal> {
+        self.closing.check()?;
         let (parts, body) = request.into_parts();
         let turn = parts.extensions.get::<Turn>().cloned();
         let mut call = Call::open(parts, self.table.snapshot(), &*self.dialect, id, arrived)?;
+        call.sent = sent.clone();
         if self.dispatcher.shares_retry_allowance() {
             call.live_daemons = self.table.members().live();
         }
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -11,6 +11,7 @@
 mod bounds;
 pub mod budget;
 pub mod choose;
+mod closing;
 mod connections;
 pub mod crashes;
 mod dialect;
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::closing::Sent;
 use crate::dialect::Dialect;
 use crate::dispatch::Origin;
 use crate::header::{
@@ -62,6 +63,8 @@
     pub(crate) live_daemons: usize,
     /// Fingerprint of the request, once its body is open.
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// Whether the call may have been sent to a gate.
+    pub(crate) sent: Sent,
 }
 
 impl Call {
@@ -125,6 +128,7 @@
             idempotent,
             live_daemons: 1,
             fingerprint: None,
+            sent: Sent::default(),
             route,
         })
     }
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -17,7 +17,7 @@
 use table::Table;
 use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, JoinHandle};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep_until};
 
 use crate::counted::CountedStore;
 use crate::crashes::share_crashes;
@@ -29,6 +29,14 @@
 /// They check readiness once a second and move after two failed checks.
 const CALLER_DEPARTURE: Duration = Duration::from_millis(2_200);
 
+/// Time after the stop signal from which on new calls are refused. The platform excuses that a call is cut at the end of a stop only
+/// if it was sent within 3 s of the signal.
+const TAKING_TIME: Duration = Duration::from_millis(2_800);
+
+/// Time before the end of a stop at which calls in flight are answered with a refusal, so that none ends without an
+/// answer.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time for the announcement of the departure to reach the other daemons.
 const DEPARTURE_NOTICE: Duration = Duration::from_millis(900);
 
@@ -74,8 +82,10 @@
     table: Arc<Table>,
     follower: Arc<Follower>,
     stopping: Arc<AtomicBool>,
-    ingress: Server,
-    gate: Server,
+    ingress: Arc<Ingress>,
+    gate: Arc<Gate>,
+    ingress_server: Server,
+    gate_server: Server,
     tasks: Vec<AbortHandle>,
     watcher: JoinHandle<()>,
     log: Logger,
@@ -163,8 +173,10 @@
         Ok(Self {
             addresses,
             stop_limit: settings.upstream.stop_limit,
-            ingress: ingress.spawn(listeners.caller)?,
-            gate: gate.spawn(listeners.gate)?,
+            ingress_server: ingress.spawn(listeners.caller)?,
+            gate_server: gate.spawn(listeners.gate)?,
+            ingress,
+            gate,
             table,
             follower,
             stopping,
@@ -185,22 +197,35 @@
     }
 
     /// Performs a planned stop: reports not ready, gives callers and then other daemons time to
-    /// move elsewhere, and finishes the calls in flight.
+    /// move elsewhere, refuses what comes too late to be answered, and finishes the calls in flight.
     pub async fn stop(self) -> StopReport {
         let limit = self.stop_limit.duration().saturating_sub(STOP_MARGIN);
-        let deadline = Instant::now() + limit;
+        let begun = Instant::now();
+        let deadline = begun + limit;
         info!(self.log, "daemon stops"; "limit" => %self.stop_limit);
         self.stopping.store(true, Ordering::Relaxed);
-        self.ingress.disable_keep_alive();
-        sleep(CALLER_DEPARTURE.min(limit / 2)).await;
+        self.ingress_server.disable_keep_alive();
+        sleep_until(begun + CALLER_DEPARTURE.min(limit / 2)).await;
         self.watcher.abort();
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         self.follower.leave();
-        sleep(DEPARTURE_NOTICE.min(limit / 5)).await;
+        self.gate.refuse_calls();
+        let left_at = Instant::now();
+        sleep_until(begun + TAKING_TIME.min(limit / 2)).await;
+        self.ingress.refuse_calls(deadline);
+        let ingress = Arc::clone(&self.ingress);
+        let ending = tokio::spawn(async move {
+            sleep_until(deadline - REFUSAL_MARGIN.min(limit / 10)).await;
+            ingress.end_calls();
+        });
+        sleep_until(left_at + DEPARTURE_NOTICE.min(limit / 5)).await;
         let remaining = || deadline.saturating_duration_since(Instant::now());
-        let (ingress_cut, gate_cut) =
-            tokio::join!(self.ingress.stop(remaining()), self.gate.stop(remaining()));
+        let (ingress_cut, gate_cut) = tokio::join!(
+            self.ingress_server.stop(remaining()),
+            self.gate_server.stop(remaining())
+        );
+        ending.abort();
         for task in self.tasks {
             task.abort();
         }
