Tell a busy link from a silent connection to a gate

Cause: after 700 ms without bytes an ingress sends a ping, whose answer had 700 ms; on a narrow link the answer is behind a response that began meanwhile. The library ended the connection to the gate, with all calls on it.

Ruled out: SIGHUP; a longer time-out for the answer alone, which the next larger response outlasts while calls stay on dead connections as long.

Change: a connection to a gate fails when nothing at all arrives for 2.2 s after something was sent, while a call is in flight all the time. The answer to a ping alone has 20 s.

large_response_on_a_busy_link_is_not_cut failed before (a response that begins 450 ms after the call) and passes. calls_leave_a_connection_between_daemons_that_has_gone_silent holds with its bound of 3 s, and cancelled_call_does_not_end_the_connection_of_a_later_one keeps a cancellation, which nothing answers, from counting as silence.

--- a/crates/call/src/dispatch.rs
+++ b/crates/call/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::gate_connections::GateConnections;
 use crate::header::{LOAD, RESERVATION, number};
 use crate::health::CallResult;
+use crate::live_stream::ActivityGuard;
 use crate::payload::Payload;
 use crate::quarantine;
 use crate::request::{Call, GateRequest};
@@ -456,7 +457,7 @@
             Err(Refusal::not_run(RefusalKind::Unreachable, message))
         });
         // An unused reservation expires at the gate; the call itself has not been sent.
-        let mut response =
+        let (mut response, _active) =
             received.map_err(|refusal| Refusal::not_run(refusal.kind, refusal.message))?;
         self.notices.receive(&upstream.vm, response.headers_mut());
         if let Some(refusal) = Refusal::of(&response) {
@@ -489,13 +490,13 @@
         let received = timeout_at(until, sent)
             .await
             .unwrap_or_else(|_| Err(deadline_passed()));
-        let mut response = received?;
+        let (mut response, active) = received?;
         *load = number(response.headers(), &LOAD);
         response.headers_mut().remove(LOAD);
         self.notices.receive(&upstream.vm, response.headers_mut());
         match Refusal::of(&response) {
             Some(refusal) => Err(refusal),
-            None => buffer_small(response, until, in_flight).await,
+            None => buffer_small(response, until, (in_flight, active)).await,
         }
     }
 }
@@ -504,11 +505,11 @@
 async fn buffer_small(
     response: Response<Incoming>,
     until: Instant,
-    in_flight: InFlight,
+    guards: (InFlight, ActivityGuard),
 ) -> AttemptResult {
     let size = response.body().size_hint().exact();
     if size.is_none_or(|size| size > MAX_BUFFERED_BYTES) {
-        return Ok(response.map(|body| timed(GuardedBody::wrap(boxed(body), in_flight), until)));
+        return Ok(response.map(|body| timed(GuardedBody::wrap(boxed(body), guards), until)));
     }
     let (parts, body) = response.into_parts();
     match timeout_at(until, body.collect()).await {
--- a/crates/call/src/gate_connections.rs
+++ b/crates/call/src/gate_connections.rs
@@ -14,15 +14,19 @@
 use tokio::time::{Instant, timeout};
 
 use crate::body::Body;
+use crate::live_stream::{Activity, ActivityGuard, LiveStream};
 use crate::{Refusal, RefusalKind};
 
 /// Time-out for connecting to a gate.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Interval of pings on a connection with calls in flight, and the time-out for their acknowledgement.
-/// Until the time-out, calls on a connection that has gone silent are lost.
+/// Interval of pings on a connection with calls in flight on which nothing arrives. A connection that goes on being silent
+/// fails by [`LiveStream`]; until then, calls on it are lost.
 const PING_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time-out for the answer to a ping while other bytes arrive. The answer may be queued behind them on a narrow link.
+const PING_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Maximum number of connected gates; the least recently used is evicted first.
 const MAX_GATES: usize = 512;
 
@@ -40,10 +44,17 @@
 }
 
 /// Connection to a gate. The lock is held while it is opened, so that it is opened only once.
-type SharedConnection = tokio::sync::Mutex<Option<SendRequest<Body>>>;
+type SharedConnection = tokio::sync::Mutex<Option<Connection>>;
+
+/// An open connection to a gate.
+#[derive(Debug, Clone)]
+struct Connection {
+    sender: SendRequest<Body>,
+    activity: Activity,
+}
 
 impl GateConnections {
-    /// Sends `request` to the gate at `address`.
+    /// Sends `request` to the gate at `address`. The guard is to be kept until the end of the response.
     ///
     /// # Errors
     ///
@@ -52,11 +63,12 @@
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
-    ) -> Result<Response<Incoming>, Refusal> {
+    ) -> Result<(Response<Incoming>, ActivityGuard), Refusal> {
         loop {
-            let (mut sender, is_new) = self.get(address).await?;
-            let mut error = match sender.try_send_request(request).await {
-                Ok(response) => return Ok(response),
+            let (mut connection, is_new) = self.get(address).await?;
+            let active = connection.activity.begin();
+            let mut error = match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, active)),
                 Err(error) => error,
             };
             // hyper returns the request only if it has not begun to send it.
@@ -69,15 +81,16 @@
     }
 
     /// Returns the connection to `address` and whether it was newly opened.
-    async fn get(&self, address: SocketAddr) -> Result<(SendRequest<Body>, bool), Refusal> {
+    async fn get(&self, address: SocketAddr) -> Result<(Connection, bool), Refusal> {
         let shared = self.entry(address);
-        let mut connection = shared.lock().await;
-        if let Some(sender) = connection.as_ref().filter(|sender| !sender.is_closed()) {
-            return Ok((sender.clone(), false));
+        let mut known = shared.lock().await;
+        let open = known.as_ref();
+        if let Some(open) = open.filter(|connection| !connection.sender.is_closed()) {
+            return Ok((open.clone(), false));
         }
-        let sender = connect(address).await?;
-        *connection = Some(sender.clone());
-        Ok((sender, true))
+        let opened = connect(address).await?;
+        *known = Some(opened.clone());
+        Ok((opened, true))
     }
 
     fn entry(&self, address: SocketAddr) -> Arc<SharedConnection> {
@@ -99,16 +112,18 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, Refusal> {
+async fn connect(address: SocketAddr) -> Result<Connection, Refusal> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| unreachable(address, "no answer in time"))?
         .map_err(|error| unreachable(address, error))?;
     let _ = stream.set_nodelay(true);
+    let activity = Activity::default();
+    let stream = LiveStream::open(stream, activity.clone());
     let (sender, connection) = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(address, error))?;
@@ -116,7 +131,7 @@
         // The calls on the connection receive the error themselves.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection { sender, activity })
 }
 
 fn unreachable(address: SocketAddr, error: impl std::fmt::Display) -> Refusal {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -24,6 +24,7 @@
 mod ingress;
 pub mod keys;
 pub mod limit;
+mod live_stream;
 mod metrics;
 mod outcome;
 pub mod overload;
