Wait after a last response only as long as its delivery takes

Restarts took up to 2 s longer: a stop waited for callers that had had their responses and keep idle connections open, since connections are read on after their last response.

Change: a connection is read on until 0.3 s after the end of a small response, or 2 s after that of a large one.

stop_does_not_wait_for_idle_connections failed before (2.5 s) and passes; request_that_crosses_the_last_response_does_not_break_it_off holds.

--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -2,26 +2,28 @@
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::Poll;
 
-use http::header::CONNECTION;
+use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, Request, Response, Version};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use model::ConnectionLimits;
+use model::{ConnectionLimits, lock};
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Duration, Instant, sleep, timeout_at};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, GuardedBody, boxed};
 use crate::dialect::DefaultDialect;
+use crate::header::number;
 use crate::pipeline::{Driver, Pipeline, ReadAhead, RequestState};
 use crate::{Refusal, RefusalKind};
 
@@ -41,9 +43,15 @@
 /// Time without a call after which a stopping server is done, even if connections are still open.
 const QUIET_TIME: Duration = Duration::from_millis(400);
 
-/// Time for which a connection is read on after its last response, unless the caller closes it before. What the caller
-/// sends meanwhile would reset a closed connection, and responses that are still on their way would be lost with it.
-const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Size from which a response counts as large.
+const LARGE_BYTES: u64 = 64 << 10;
+
+/// Time after a small response within which the caller has it. A connection is read on until then, unless the caller
+/// closes it before: what the caller sends meanwhile would reset a closed connection, and the response would be lost with it.
+const DELIVERY_TIME: Duration = Duration::from_millis(300);
+
+/// The same for a large response.
+const LARGE_DELIVERY_TIME: Duration = Duration::from_secs(2);
 
 /// Interval of checks whether callers have closed the last connections.
 const LINGER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -80,6 +88,44 @@
     }
 }
 
+/// Time by which the caller of a connection has the last response.
+#[derive(Debug, Clone, Default)]
+struct Delivery(Arc<Mutex<Option<Instant>>>);
+
+impl Delivery {
+    fn until(&self) -> Option<Instant> {
+        *lock(&self.0)
+    }
+}
+
+/// Notes the delivery of a response when it is dropped, at the end of the response.
+struct DeliveryGuard {
+    delivery: Delivery,
+    time: Duration,
+}
+
+impl DeliveryGuard {
+    fn new(delivery: &Delivery, response: &Response<Body>) -> Self {
+        let stated = number(response.headers(), &CONTENT_LENGTH);
+        let size = stated.or_else(|| response.body().size_hint().exact());
+        Self {
+            delivery: delivery.clone(),
+            time: match size {
+                Some(..LARGE_BYTES) => DELIVERY_TIME,
+                _ => LARGE_DELIVERY_TIME,
+            },
+        }
+    }
+}
+
+impl Drop for DeliveryGuard {
+    fn drop(&mut self) {
+        let until = Instant::now() + self.time;
+        let mut last = lock(&self.delivery.0);
+        *last = (*last).max(Some(until));
+    }
+}
+
 /// A running HTTP server.
 #[derive(Debug)]
 pub struct Server {
@@ -243,9 +289,12 @@
         let handler = self.handler.clone();
         let calls = self.calls.clone();
         let keep_alive_off = self.keep_alive_off.clone();
+        let delivery = Delivery::default();
+        let delivered = delivery.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let call = calls.enter();
             let keep_alive_off = keep_alive_off.clone();
+            let delivery = delivery.clone();
             let is_http1 = request.version() < Version::HTTP_2;
             let pipeline = pipeline.clone();
             let state = match is_http1 {
@@ -261,7 +310,8 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                let guarded = response.map(|body| GuardedBody::wrap(body, call));
+                let guards = (call, DeliveryGuard::new(&delivery, &response));
+                let guarded = response.map(|body| GuardedBody::wrap(body, guards));
                 Ok::<_, std::convert::Infallible>(guarded)
             }
         });
@@ -284,10 +334,13 @@
                 debug!(log, "connection ended"; "error" => %error);
                 return;
             }
+            let Some(until) = delivered.until().filter(|until| *until > Instant::now()) else {
+                return;
+            };
             let _lingering = lingering.enter();
             tokio::select! {
                 () = stream.drain() => {}
-                () = sleep(LINGER_TIME) => {}
+                () = sleep_until(until) => {}
                 () = abort.cancelled() => {}
             }
         });
--- a/crates/call/tests/stop.rs
+++ b/crates/call/tests/stop.rs
@@ -145,6 +145,36 @@
     assert_eq!(stopping.await.expect("no panic"), 0);
 }
 
+/// Guards against a stop that waits for callers which have had their responses and keep their connections.
+#[tokio::test]
+async fn stop_does_not_wait_for_idle_connections() {
+    let upstream = Router::new().fallback(async || "whole");
+    let node = Node::start("a-1", "proofdesk", 12, serve(upstream).await).await;
+    node.install(&[("/", "proofdesk", Rules::default())]);
+    let address = node.ingress.address();
+    let mut connections = Vec::new();
+    for _ in 0..4 {
+        let mut connection = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("an open connection");
+        let request = format!("GET / HTTP/1.1\r\nhost: {}\r\n\r\n", support::HOST);
+        connection
+            .write_all(request.as_bytes())
+            .await
+            .expect("an open connection");
+        let mut response = [0; 2_048];
+        let read = connection.read(&mut response).await.expect("a response");
+        assert!(response[..read].starts_with(b"HTTP/1.1 200"));
+        connections.push(connection);
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let begun = tokio::time::Instant::now();
+    assert_eq!(node.ingress.stop(LIMIT).await, 0);
+    let took = begun.elapsed();
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+    drop(connections);
+}
+
 /// Guards against a last response that is lost on its way: the caller's next request, which crosses it, reset the
 /// connection that the daemon had closed behind it.
 #[tokio::test]
