Do not wait for dark peers once enough others have answered

Cause: a starting daemon waited for all three peers that it asks, up to the time-out of an exchange, and then for the next three. VMs that had ended lately were among the first.

Daemons that live are asked before those that have ended.

--- a/crates/follow/src/holders.rs
+++ b/crates/follow/src/holders.rs
@@ -14,13 +14,14 @@
 
 /// Returns the other daemons that may run, in the order in which they hold the record of `own`.
 ///
-/// The order depends only on the ids of the VMs, so a daemon that starts asks those that its predecessor on the VM told.
+/// The order depends only on the ids of the VMs and on which daemons live, so a daemon that starts asks those that its
+/// predecessor on the VM told. Daemons that ended lately go last: they have started again, or never answer.
 pub fn holders<'a>(own: &Record, members: &'a [Record], now: UnixMillis) -> Vec<&'a Record> {
     let others = members.iter().filter(|record| record.vm != own.vm);
     let mut others: Vec<&Record> = others.filter(|other| may_be_running(other, now)).collect();
     others.sort_by_cached_key(|other| {
         let pair = format!("{} {}", own.vm, other.vm);
-        *Digest::of(pair.as_bytes()).as_bytes()
+        (!other.is_alive(), *Digest::of(pair.as_bytes()).as_bytes())
     });
     others
 }
@@ -59,19 +60,26 @@
     pub store_read: bool,
     /// Number of peers that may run.
     pub known: usize,
-    /// Number of peers that have been asked.
-    pub asked: usize,
     /// Number of peers that have answered.
     pub answered: usize,
+    /// Number of peers that have failed to answer in time.
+    pub failed: usize,
+    /// Number of peers that have been asked and may still answer.
+    pub pending: usize,
 }
 
 impl Inquiry {
-    /// Returns whether what the predecessors acknowledged is known.
-    pub fn is_complete(self) -> bool {
+    /// Returns whether what the predecessors acknowledged is known. `patient` is false once the time is over in which peers
+    /// usually answer.
+    ///
+    /// Designed for a daemon that starts while some of its peers are dark: they are not waited for once enough others have
+    /// answered, as the upstream is idle meanwhile.
+    pub fn is_complete(self, patient: bool) -> bool {
         let is_answered = self.answered >= MIN_HOLDERS.min(self.known);
+        let is_settled = self.pending == 0 || !patient;
         match self.store_read {
-            true => is_answered || self.asked >= self.known,
-            false => self.known > 0 && is_answered,
+            true => is_answered && is_settled || self.answered + self.failed >= self.known,
+            false => self.known > 0 && is_answered && is_settled,
         }
     }
 }
--- a/crates/follow/src/keep.rs
+++ b/crates/follow/src/keep.rs
@@ -91,29 +91,45 @@
     loop {
         // The sender lives as long as `shared`.
         let _ = known.wait_for(|known| *known).await;
-        let peers = addresses(shared);
-        let mut inquiry = Inquiry {
-            known: peers.len(),
-            ..Inquiry::default()
-        };
-        for group in peers.chunks(HOLDERS) {
-            let mut calls = JoinSet::new();
-            for address in group {
+        let inquiry = ask_peers(shared, addresses(shared)).await;
+        if inquiry.is_complete(false) {
+            return inquiry;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Asks `peers` in their order, the next ones while too few answer in the usual time, until enough have answered or
+/// none is left.
+async fn ask_peers(shared: &Arc<Shared>, peers: Vec<SocketAddr>) -> Inquiry {
+    let started = Instant::now();
+    let mut inquiry = Inquiry {
+        known: peers.len(),
+        ..Inquiry::default()
+    };
+    let mut left = peers.chunks(HOLDERS);
+    let mut calls = JoinSet::new();
+    let mut next_at = started;
+    loop {
+        if Instant::now() >= next_at || calls.is_empty() {
+            for address in left.next().unwrap_or_default() {
                 let (exchange, address) = (shared.exchange.clone(), *address);
                 calls.spawn(async move { exchange.ask(address).await });
             }
-            let answers = calls.join_all().await;
-            inquiry.asked += answers.len();
-            inquiry.answered += answers.into_iter().filter(|answered| *answered).count();
-            inquiry.store_read = shared.members_read.load(Ordering::Relaxed);
-            if inquiry.is_complete() {
-                return inquiry;
-            }
+            next_at = Instant::now() + USUAL_TIME;
         }
+        inquiry.pending = calls.len();
         inquiry.store_read = shared.members_read.load(Ordering::Relaxed);
-        if inquiry.is_complete() {
+        let patient = started.elapsed() < USUAL_TIME;
+        if inquiry.is_complete(patient) || calls.is_empty() {
             return inquiry;
         }
-        sleep(RETRY_PAUSE).await;
+        tokio::select! {
+            Some(answered) = calls.join_next() => match answered {
+                Ok(true) => inquiry.answered += 1,
+                Ok(false) | Err(_) => inquiry.failed += 1,
+            },
+            () = sleep_until(next_at) => {}
+        }
     }
 }
