Let a stopping gate take calls until the others know that it leaves

Calls were turned away by gates of stopping daemons while the callers' daemons had not read of the departure yet, and came back later.

--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -210,7 +210,6 @@
         self.table
             .announce(|record| record.state = UpstreamState::Left);
         self.follower.leave();
-        self.gate.refuse_calls();
         let left_at = Instant::now();
         sleep_until(begun + TAKING_TIME.min(limit / 2)).await;
         self.ingress.refuse_calls(deadline);
@@ -220,6 +219,7 @@
             ingress.end_calls();
         });
         sleep_until(left_at + DEPARTURE_NOTICE.min(limit / 5)).await;
+        self.gate.refuse_calls();
         let remaining = || deadline.saturating_duration_since(Instant::now());
         let (ingress_cut, gate_cut) = tokio::join!(
             self.ingress_server.stop(remaining()),
