Name replicas and queries of departures in usual terms

A newcomer stumbles over tell, ask and patient in the code that keeps departures. They are replicate_to, query_departures and an enum for the time in which answers are usual. Nothing else changes; the wire, logs and settings are as before.

--- a/crates/follow/src/holders.rs
+++ b/crates/follow/src/holders.rs
@@ -26,6 +26,15 @@
     others
 }
 
+/// Whether the store and peers may still answer in the time that they usually take.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum UsualTime {
+    /// They may.
+    Running,
+    /// Those that have not answered are late.
+    Over,
+}
+
 /// Where the local record is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Copies {
@@ -38,17 +47,16 @@
 }
 
 impl Copies {
-    /// Returns whether a daemon that starts on this VM will find the record. `patient` is false once the time is over in
-    /// which the store and peers usually answer.
+    /// Returns whether a daemon that starts on this VM will find the record.
     ///
     /// Designed for a daemon that is killed right after it has acknowledged something, while the store is silent, or
     /// falls silent before other daemons have read the record there.
-    pub fn suffice(self, patient: bool) -> bool {
-        match (self.in_store, patient) {
-            (true, true) => self.peers > 0,
-            (true, false) => true,
-            (false, true) => false,
-            (false, false) => self.known > 0 && self.peers >= MIN_HOLDERS.min(self.known),
+    pub fn are_enough(self, time: UsualTime) -> bool {
+        match (self.in_store, time) {
+            (true, UsualTime::Running) => self.peers > 0,
+            (true, UsualTime::Over) => true,
+            (false, UsualTime::Running) => false,
+            (false, UsualTime::Over) => self.known > 0 && self.peers >= MIN_HOLDERS.min(self.known),
         }
     }
 }
@@ -69,14 +77,13 @@
 }
 
 impl Inquiry {
-    /// Returns whether what the predecessors acknowledged is known. `patient` is false once the time is over in which peers
-    /// usually answer.
+    /// Returns whether what the predecessors acknowledged is known.
     ///
-    /// Designed for a daemon that starts while some of its peers are dark: they are not waited for once enough others have
-    /// answered, as the upstream is idle meanwhile.
-    pub fn is_complete(self, patient: bool) -> bool {
+    /// Designed for a daemon that starts while some of its peers do not respond: they are not waited for once enough others
+    /// have answered, as the upstream is idle meanwhile.
+    pub fn is_complete(self, time: UsualTime) -> bool {
         let is_answered = self.answered >= MIN_HOLDERS.min(self.known);
-        let is_settled = self.pending == 0 || !patient;
+        let is_settled = self.pending == 0 || time == UsualTime::Over;
         match self.store_read {
             true => is_answered && is_settled || self.answered + self.failed >= self.known,
             false => self.known > 0 && is_answered && is_settled,
--- a/crates/follow/src/keep.rs
+++ b/crates/follow/src/keep.rs
@@ -10,19 +10,27 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::holders::{Copies, HOLDERS, Inquiry, holders};
+use crate::holders::{Copies, HOLDERS, Inquiry, UsualTime, holders};
 use crate::node::Shared;
 
 /// Time in which the store and peers usually answer.
 const USUAL_TIME: Duration = Duration::from_millis(250);
 
-/// Pause before all peers are told or asked again.
+/// Pause before the record is sent to all peers again, or all are queried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time from the start of a daemon after which it no longer asks for its predecessors. A heartbeat that was sent to one
 /// of them has arrived by then.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(10);
 
+/// Returns whether the store and peers that were called at `started` may still answer in time.
+fn usual_time(started: Instant) -> UsualTime {
+    match started.elapsed() < USUAL_TIME {
+        true => UsualTime::Running,
+        false => UsualTime::Over,
+    }
+}
+
 /// Returns the addresses of the peers that hold the local record, in order.
 fn addresses(shared: &Shared) -> Vec<SocketAddr> {
     let members = shared.directory.table().members();
@@ -47,10 +55,10 @@
                 && let Some(address) = left.next()
             {
                 let exchange = shared.exchange.clone();
-                calls.spawn(async move { exchange.tell(address).await });
+                calls.spawn(async move { exchange.replicate_to(address).await });
             }
-            let patient = started.elapsed() < USUAL_TIME;
-            if copies.suffice(patient) {
+            let time = usual_time(started);
+            if copies.are_enough(time) {
                 calls.detach_all();
                 info!(shared.log, "record kept"; "counter" => counter, "in_store" => copies.in_store,
                     "peers" => copies.peers, "took_ms" => started.elapsed().as_millis() as u64);
@@ -63,7 +71,7 @@
                 Ok(_) = written.wait_for(|written| *written >= counter), if !copies.in_store => {
                     copies.in_store = true;
                 }
-                () = sleep_until(started + USUAL_TIME), if patient => {}
+                () = sleep_until(started + USUAL_TIME), if time == UsualTime::Running => {}
                 () = sleep(RETRY_PAUSE), if calls.is_empty() => break,
             }
         }
@@ -91,8 +99,8 @@
     loop {
         // The sender lives as long as `shared`.
         let _ = known.wait_for(|known| *known).await;
-        let inquiry = ask_peers(shared, addresses(shared)).await;
-        if inquiry.is_complete(false) {
+        let inquiry = query_peers(shared, addresses(shared)).await;
+        if inquiry.is_complete(UsualTime::Over) {
             return inquiry;
         }
         sleep(RETRY_PAUSE).await;
@@ -101,7 +109,7 @@
 
 /// Asks `peers` in their order, the next ones while too few answer in the usual time, until enough have answered or
 /// none is left.
-async fn ask_peers(shared: &Arc<Shared>, peers: Vec<SocketAddr>) -> Inquiry {
+async fn query_peers(shared: &Arc<Shared>, peers: Vec<SocketAddr>) -> Inquiry {
     let started = Instant::now();
     let mut inquiry = Inquiry {
         known: peers.len(),
@@ -114,14 +122,13 @@
         if Instant::now() >= next_at || calls.is_empty() {
             for address in left.next().unwrap_or_default() {
                 let (exchange, address) = (shared.exchange.clone(), *address);
-                calls.spawn(async move { exchange.ask(address).await });
+                calls.spawn(async move { exchange.query_departures(address).await });
             }
             next_at = Instant::now() + USUAL_TIME;
         }
         inquiry.pending = calls.len();
         inquiry.store_read = shared.members_read.load(Ordering::Relaxed);
-        let patient = started.elapsed() < USUAL_TIME;
-        if inquiry.is_complete(patient) || calls.is_empty() {
+        if inquiry.is_complete(usual_time(started)) || calls.is_empty() {
             return inquiry;
         }
         tokio::select! {
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -237,17 +237,17 @@
         self.exchange_by(address, Self::whole_request).await
     }
 
-    /// Tells the daemon at `address` the local record; returns whether it has taken it over.
-    pub(crate) async fn tell(&self, address: SocketAddr) -> bool {
-        self.exchange_by(address, Self::telling_request).await
+    /// Sends the local record to the daemon at `address`; returns whether it has taken it over.
+    pub(crate) async fn replicate_to(&self, address: SocketAddr) -> bool {
+        self.exchange_by(address, Self::replication_request).await
     }
 
-    /// Asks the daemon at `address` for the departures that it knows of this VM; returns whether it responded.
+    /// Queries the daemon at `address` for the departures that it knows of this VM; returns whether it responded.
     ///
-    /// The local record is not told: as long as the others hold that of the predecessor, they use the upstream as soon as
+    /// The local record is not sent: as long as the others hold that of the predecessor, they use the upstream as soon as
     /// this daemon does.
-    pub(crate) async fn ask(&self, address: SocketAddr) -> bool {
-        self.exchange_by(address, Self::asking_request).await
+    pub(crate) async fn query_departures(&self, address: SocketAddr) -> bool {
+        self.exchange_by(address, Self::departures_query).await
     }
 
     async fn exchange_by(
@@ -292,14 +292,14 @@
         }
     }
 
-    fn telling_request(&self) -> ExchangeRequest {
+    fn replication_request(&self) -> ExchangeRequest {
         ExchangeRequest {
             caller: Some((&self.directory.table().members().own()).into()),
-            ..self.asking_request()
+            ..self.departures_query()
         }
     }
 
-    fn asking_request(&self) -> ExchangeRequest {
+    fn departures_query(&self) -> ExchangeRequest {
         ExchangeRequest {
             departures_of: self.directory.table().members().own().vm.to_string(),
             ..ExchangeRequest::default()
--- a/crates/follow/tests/holders.rs
+++ b/crates/follow/tests/holders.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use follow::holders::{Copies, HOLDERS, Inquiry, MIN_HOLDERS, holders};
+use follow::holders::{Copies, HOLDERS, Inquiry, MIN_HOLDERS, UsualTime, holders};
 use member::{Record, UpstreamState};
 use model::{Incarnation, UnixMillis};
 
@@ -72,21 +72,21 @@
         peers,
         known: 10,
     };
-    assert!(copies(true, 1).suffice(true));
-    assert!(!copies(true, 0).suffice(true));
-    assert!(!copies(false, MIN_HOLDERS).suffice(true));
+    assert!(copies(true, 1).are_enough(UsualTime::Running));
+    assert!(!copies(true, 0).are_enough(UsualTime::Running));
+    assert!(!copies(false, MIN_HOLDERS).are_enough(UsualTime::Running));
     // The store or the peers do not answer in the usual time.
-    assert!(copies(true, 0).suffice(false));
-    assert!(copies(false, MIN_HOLDERS).suffice(false));
-    assert!(!copies(false, MIN_HOLDERS - 1).suffice(false));
+    assert!(copies(true, 0).are_enough(UsualTime::Over));
+    assert!(copies(false, MIN_HOLDERS).are_enough(UsualTime::Over));
+    assert!(!copies(false, MIN_HOLDERS - 1).are_enough(UsualTime::Over));
     let alone = Copies::default();
-    assert!(!alone.suffice(false));
+    assert!(!alone.are_enough(UsualTime::Over));
     let pair = Copies {
         known: 1,
         peers: 1,
         ..Copies::default()
     };
-    assert!(pair.suffice(false));
+    assert!(pair.are_enough(UsualTime::Over));
 }
 
 #[test]
@@ -106,23 +106,23 @@
         failed,
         pending,
     };
-    assert!(inquiry(true, MIN_HOLDERS, 1, 0).is_complete(true));
-    assert!(inquiry(false, MIN_HOLDERS, 1, 0).is_complete(true));
-    assert!(!inquiry(true, MIN_HOLDERS - 1, 2, 0).is_complete(false));
-    assert!(!inquiry(false, MIN_HOLDERS - 1, 9, 0).is_complete(false));
+    assert!(inquiry(true, MIN_HOLDERS, 1, 0).is_complete(UsualTime::Running));
+    assert!(inquiry(false, MIN_HOLDERS, 1, 0).is_complete(UsualTime::Running));
+    assert!(!inquiry(true, MIN_HOLDERS - 1, 2, 0).is_complete(UsualTime::Over));
+    assert!(!inquiry(false, MIN_HOLDERS - 1, 9, 0).is_complete(UsualTime::Over));
     // The others have ended, so the store's word is all there is.
-    assert!(inquiry(true, 0, 10, 0).is_complete(true));
+    assert!(inquiry(true, 0, 10, 0).is_complete(UsualTime::Running));
     let alone = Inquiry {
         store_read: true,
         ..Inquiry::default()
     };
-    assert!(alone.is_complete(true));
-    assert!(!Inquiry::default().is_complete(false));
+    assert!(alone.is_complete(UsualTime::Running));
+    assert!(!Inquiry::default().is_complete(UsualTime::Over));
 }
 
-/// Guards against an upstream that is idle for as long as a dark peer is waited for.
+/// Guards against an upstream that is idle for as long as an unresponsive peer is waited for.
 #[test]
-fn dark_peers_are_waited_for_only_as_long_as_peers_usually_answer() {
+fn unresponsive_peers_are_waited_for_only_as_long_as_peers_usually_answer() {
     let inquiry = Inquiry {
         store_read: true,
         known: 10,
@@ -130,8 +130,8 @@
         failed: 0,
         pending: 1,
     };
-    assert!(!inquiry.is_complete(true));
-    assert!(inquiry.is_complete(false));
+    assert!(!inquiry.is_complete(UsualTime::Running));
+    assert!(inquiry.is_complete(UsualTime::Over));
 }
 
 #[test]
