--- a/crates/daemon/src/departures.rs
+++ b/crates/daemon/src/departures.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use call::Backend;
-use model::UnixMillis;
 use table::Table;
 
 /// Takes over the departures that earlier daemons on this VM recorded in their membership records.
@@ -27,13 +26,7 @@
 ) {
     loop {
         let (departures, recorded) = backend.unkept().await;
-        let now = UnixMillis::now();
-        let mut known = table.members().own().departures;
-        if known.merge(&departures, now) {
-            table.announce(|record| {
-                record.departures.merge(&departures, now);
-            });
-        }
+        table.add_departures(&departures);
         keep(table.members().own().counter).await;
         backend.mark_kept(recorded);
     }
--- a/crates/follow/src/members.rs
+++ b/crates/follow/src/members.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use member::{LinkId, Record, UpstreamState};
-use model::{Departures, Incarnation, UnixMillis, VmId, lock};
+use model::{Incarnation, VmId, lock};
 use prost::Message;
 use slog::{Logger, info, warn};
 use store::Entry;
@@ -133,17 +133,6 @@
         }
     }
 
-    /// Adds departures that an earlier daemon on this VM acknowledged to the local record.
-    pub(crate) fn adopt(&self, departures: &Departures) {
-        let now = UnixMillis::now();
-        let mut known = self.table.members().own().departures;
-        if known.merge(departures, now) {
-            self.table.announce(|record| {
-                record.departures.merge(departures, now);
-            });
-        }
-    }
-
     /// Raises the local incarnation above that of `seen`, which a previous incarnation on this VM wrote
     /// while its clock was ahead.
     fn raise_incarnation(&self, seen: &Record) {
--- a/crates/follow/src/peers.rs
+++ b/crates/follow/src/peers.rs
@@ -308,7 +308,7 @@
 
     fn apply_reply(&self, address: SocketAddr, reply: ExchangeReply) {
         match departures_from_wire(&reply.departures) {
-            Some(departures) => self.directory.adopt(&departures),
+            Some(departures) => self.directory.table().add_departures(&departures),
             None => {
                 warn!(self.log, "departures of this VM skipped: they cannot be read; check that both daemons run one release";
                 "peer" => %address)
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -6,8 +6,8 @@
 use arc_swap::ArcSwap;
 use member::{LinkId, Members, Record};
 use model::{
-    Change, ConnectionLimits, Digest, Key, Problem, Problems, State, StateError, Version, lock,
-    validate, validate_changed,
+    Change, ConnectionLimits, Departures, Digest, Key, Problem, Problems, State, StateError,
+    UnixMillis, Version, lock, validate, validate_changed,
 };
 use tokio::sync::watch;
 
@@ -209,6 +209,16 @@
         updated
     }
 
+    /// Adds `departures` to the local membership record, if one of them is news there.
+    pub fn add_departures(&self, departures: &Departures) {
+        let now = UnixMillis::now();
+        if self.members.own().departures.merge(departures, now) {
+            self.announce(|record| {
+                record.departures.merge(departures, now);
+            });
+        }
+    }
+
     /// Rewrites the local membership record with `update`.
     pub fn announce(&self, update: impl FnOnce(&mut Record)) {
         let _inner = self.lock();
